--- /dev/null
+++ b/src/caraway_router/main.cpp
@@ -0,0 +1,77 @@
+#include "libcaraway/router/daemon.hpp"
+
+#include "platform/adapter.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <iostream>
+
+namespace
+{
+
+using namespace caraway;
+
+/// Counts the time for which the VM is suspended too, unlike the steady clock: what was granted or
+/// known before is as old as it really is.
+class boot_clock final : public base::clock
+{
+public:
+    base::time_point now() const override
+    {
+        timespec time{};
+        ::clock_gettime(CLOCK_BOOTTIME, &time);
+        return base::time_point(std::chrono::seconds(time.tv_sec) +
+                                std::chrono::nanoseconds(time.tv_nsec));
+    }
+    std::chrono::system_clock::time_point wall_time() const override
+    {
+        return std::chrono::system_clock::now();
+    }
+};
+
+int run(const router::settings& settings)
+{
+    const boot_clock clock;
+    boost::asio::io_context loop(1);
+    telemetry::line_log log(clock, telemetry::standard_output());
+    http::timer_queue store_timers(loop, clock);
+    router::daemon daemon(loop, clock, settings, platform::caller_protocol(),
+                          platform::make_port(loop, store_timers, settings.store), log);
+    if (const auto started = daemon.start(); !started)
+    {
+        std::cerr << started.error().message << "\n";
+        return 1;
+    }
+    loop.run();
+    log.flush();
+    return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app("A router of the fleet, on the users' platform.");
+    std::string file;
+    std::uint16_t metrics_port = 0;
+    app.add_option("--settings", file, "Settings as JSON; else the platform's variable names them.");
+    app.add_option("--metrics-port", metrics_port, "Serves metrics there; 0: only at the control address.");
+    CLI11_PARSE(app, argc, argv);
+    std::signal(SIGPIPE, SIG_IGN);
+
+    const auto path = file.empty() ? platform::settings_path() : std::filesystem::path(file);
+    if (!path)
+    {
+        std::cerr << "No settings: give --settings FILE.\n";
+        return 2;
+    }
+    auto settings = platform::read_settings(*path);
+    if (!settings)
+    {
+        std::cerr << path->string() << ": " << settings.error().message << "\n";
+        return 2;
+    }
+    settings.value().metrics.port = metrics_port;
+    return run(settings.value());
+}
--- a/src/carawayd/daemon.cpp
+++ b/src/carawayd/daemon.cpp
@@ -5,6 +5,7 @@
 #include "carawayd/control/ask.hpp"
 #include "libcaraway/config/review_policy.hpp"
 #include "libcaraway/logging/logger.hpp"
+#include "libcaraway/metrics/registry_dump.hpp"
 
 #include <QCoreApplication>
 #include <QMetaObject>
@@ -196,7 +197,7 @@
                                        {
                                            QJsonObject state = control_->dump();
                                            state["supervisors"] = root_->snapshot();
-                                           state["metrics"] = registry_.dump();
+                                           state["metrics"] = caraway::metrics::dump(registry_);
                                            state["requests_remembered"] =
                                                static_cast<qint64>(journal_.size());
                                            return state;
--- /dev/null
+++ b/src/libcaraway/http/client_connection.cpp
@@ -0,0 +1,321 @@
+#include "libcaraway/http/client_connection.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/write.hpp>
+
+#include <netinet/tcp.h>
+
+#include <charconv>
+
+namespace caraway::http
+{
+
+namespace
+{
+
+namespace beast_http = boost::beast::http;
+
+constexpr std::size_t read_size = 16384;
+/// Larger than any head that a caller may send, as answers may carry the request's fields back.
+constexpr std::uint32_t max_head = 65536;
+
+/// The seconds of "timeout=N" in a Keep-Alive field.
+std::optional<std::chrono::seconds> kept_for(const response_head& head)
+{
+    const auto value = head[field::keep_alive];
+    const std::string_view text(value.data(), value.size());
+    constexpr std::string_view name = "timeout=";
+    const auto at = text.find(name);
+    if (at == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    int seconds = 0;
+    const auto* begin = text.data() + at + name.size();
+    const auto [end, error] = std::from_chars(begin, text.data() + text.size(), seconds);
+    if (error != std::errc{} || end == begin)
+    {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+client_connection::client_connection(boost::asio::io_context& loop, timer_queue& timers,
+                                     connect_options options)
+    : socket_(loop), timers_(timers), options_(options)
+{
+}
+
+client_connection::~client_connection()
+{
+    timers_.cancel(connect_deadline_);
+}
+
+void client_connection::call(const routing::endpoint& to, std::string request, bool head_only,
+                             call_events events, answer_check belongs)
+{
+    request_ = std::move(request);
+    events_ = std::make_shared<call_events>(std::move(events));
+    belongs_ = std::move(belongs);
+    head_only_ = head_only;
+    busy_ = true;
+    sent_ = false;
+    written_ = false;
+    ++calls_;
+    start_parser();
+    if (open_)
+    {
+        write();
+        return;
+    }
+    connect(to);
+}
+
+void client_connection::close()
+{
+    if (closed_)
+    {
+        return;
+    }
+    closed_ = true;
+    busy_ = false;
+    events_.reset();
+    timers_.cancel(connect_deadline_);
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+bool client_connection::is_reusable() const
+{
+    return open_ && !busy_ && !closed_;
+}
+
+void client_connection::connect(const routing::endpoint& to)
+{
+    boost::system::error_code error;
+    const auto ip = boost::asio::ip::make_address(to.ip, error);
+    connect_deadline_ = timers_.after(options_.connect_timeout,
+                                      [weak = weak_from_this()]
+                                      {
+                                          if (const auto self = weak.lock())
+                                          {
+                                              self->fail();
+                                          }
+                                      });
+    if (error)
+    {
+        return;
+    }
+    socket_.async_connect(tcp::endpoint(ip, to.port),
+                          [self = shared_from_this()](const boost::system::error_code& failed)
+                          {
+                              if (self->closed_)
+                              {
+                                  return;
+                              }
+                              self->timers_.cancel(self->connect_deadline_);
+                              if (failed)
+                              {
+                                  self->fail();
+                                  return;
+                              }
+                              self->open_ = true;
+                              self->set_socket_options();
+                              self->write();
+                              self->read();
+                          });
+}
+
+void client_connection::set_socket_options()
+{
+    boost::system::error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    using user_timeout =
+        boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    socket_.set_option(user_timeout(static_cast<int>(options_.silent_peer.count())), ignored);
+}
+
+void client_connection::write()
+{
+    sent_ = true;
+    boost::asio::async_write(socket_, boost::asio::buffer(request_),
+                             [self = shared_from_this()](const auto& error, std::size_t)
+                             {
+                                 // A failed write shows in the read too, behind an answer that
+                                 // may have come before the request was taken in whole.
+                                 self->written_ = !error;
+                             });
+}
+
+void client_connection::read()
+{
+    if (reading_ || closed_)
+    {
+        return;
+    }
+    reading_ = true;
+    socket_.async_read_some(buffer_.prepare(read_size),
+                            [self = shared_from_this()](const auto& error, std::size_t bytes)
+                            {
+                                self->reading_ = false;
+                                if (!self->closed_)
+                                {
+                                    self->on_read(error, bytes);
+                                }
+                            });
+}
+
+void client_connection::on_read(const boost::system::error_code& error, std::size_t bytes)
+{
+    if (error)
+    {
+        on_end_of_stream(error);
+        return;
+    }
+    buffer_.commit(bytes);
+    if (!busy_)
+    {
+        close();
+        return;
+    }
+    parse();
+    read();
+}
+
+void client_connection::parse()
+{
+    while (busy_ && buffer_.size() > 0)
+    {
+        boost::system::error_code error;
+        const auto used = parser_->put(buffer_.data(), error);
+        buffer_.consume(used);
+        if (error && error != beast_http::error::need_more)
+        {
+            fail();
+            return;
+        }
+        if (parser_->is_header_done() && !head_seen_)
+        {
+            take_head();
+        }
+        if (busy_ && head_seen_)
+        {
+            pass_body();
+        }
+        if (busy_ && parser_->is_done())
+        {
+            complete();
+            continue;
+        }
+        if (error || used == 0)
+        {
+            return;
+        }
+    }
+}
+
+void client_connection::start_parser()
+{
+    parser_.emplace();
+    parser_->header_limit(max_head);
+    parser_->body_limit(boost::none);
+    parser_->eager(true);
+    parser_->skip(head_only_);
+    head_seen_ = false;
+    skipping_ = false;
+}
+
+void client_connection::take_head()
+{
+    head_seen_ = true;
+    const response_head& head = parser_->get().base();
+    const bool interim = head.result_int() < 200;
+    skipping_ = interim || (belongs_ && !belongs_(head));
+    const auto events = events_;
+    if (!skipping_ && events->head)
+    {
+        events->head(head);
+    }
+}
+
+void client_connection::pass_body()
+{
+    auto& body = parser_->get().body();
+    if (body.empty())
+    {
+        return;
+    }
+    std::string part;
+    part.swap(body);
+    const auto events = events_;
+    if (!skipping_ && events->body)
+    {
+        events->body(part);
+    }
+}
+
+void client_connection::complete()
+{
+    if (skipping_)
+    {
+        start_parser();
+        return;
+    }
+    const response_head& head = parser_->get().base();
+    const bool keep = parser_->keep_alive() && !parser_->need_eof() && written_;
+    const auto seconds = kept_for(head);
+    busy_ = false;
+    idle_since_ = timers_.now();
+    kept_until_ = seconds ? std::optional(idle_since_ + *seconds) : std::nullopt;
+    const auto events = std::move(events_);
+    // Bytes behind a complete answer belong to no call.
+    if (!keep || buffer_.size() > 0)
+    {
+        close();
+    }
+    if (events->end)
+    {
+        events->end();
+    }
+}
+
+void client_connection::on_end_of_stream(const boost::system::error_code& error)
+{
+    if (!busy_)
+    {
+        close();
+        return;
+    }
+    // An answer without length is whole when the other side closes; one that is reset isn't.
+    if (error == boost::asio::error::eof && head_seen_ && !skipping_ && parser_->need_eof())
+    {
+        boost::system::error_code unfinished;
+        parser_->put_eof(unfinished);
+        if (!unfinished && parser_->is_done())
+        {
+            pass_body();
+            complete();
+            return;
+        }
+    }
+    fail();
+}
+
+void client_connection::fail()
+{
+    const bool head = head_seen_ && !skipping_;
+    const auto why = head    ? call_failure::cut_answer
+                     : sent_ ? call_failure::no_answer
+                             : call_failure::not_connected;
+    const auto events = events_;
+    close();
+    if (events && events->failed)
+    {
+        events->failed(why);
+    }
+}
+
+}  // namespace caraway::http
--- /dev/null
+++ b/src/libcaraway/http/exchange.cpp
@@ -0,0 +1,126 @@
+#include "libcaraway/http/server_connection.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/buffers_iterator.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+
+namespace caraway::http
+{
+
+namespace
+{
+
+template <class Buffers>
+std::string text_of(const Buffers& buffers)
+{
+    return {boost::asio::buffers_begin(buffers), boost::asio::buffers_end(buffers)};
+}
+
+}  // namespace
+
+exchange::exchange(std::shared_ptr<server_connection> connection, request_head head,
+                   std::string body, base::time_point arrived)
+    : connection_(std::move(connection)), head_(std::move(head)), body_(std::move(body)),
+      arrived_(arrived)
+{
+}
+
+void exchange::respond(response_head head, std::string_view body)
+{
+    if (ended_)
+    {
+        return;
+    }
+    ended_ = true;
+    head.erase(field::transfer_encoding);
+    head.set(field::content_length, std::to_string(body.size()));
+    connection_->send_head(head);
+    if (head_.method() != verb::head)
+    {
+        connection_->send(body);
+    }
+    connection_->answer_ended(true);
+}
+
+void exchange::begin(response_head head)
+{
+    if (ended_)
+    {
+        return;
+    }
+    begun_ = true;
+    chunked_ = head_.version() >= 11;
+    head.erase(field::content_length);
+    head.erase(field::transfer_encoding);
+    if (chunked_)
+    {
+        head.set(field::transfer_encoding, "chunked");
+    }
+    connection_->send_head(head);
+    connection_->flush();
+}
+
+void exchange::write(std::string_view part)
+{
+    if (ended_ || part.empty())
+    {
+        return;
+    }
+    const boost::asio::const_buffer bytes(part.data(), part.size());
+    if (chunked_)
+    {
+        connection_->send(text_of(boost::beast::http::make_chunk(bytes)));
+    }
+    else
+    {
+        connection_->send(part);
+    }
+    connection_->flush();
+}
+
+void exchange::finish()
+{
+    if (ended_)
+    {
+        return;
+    }
+    ended_ = true;
+    if (chunked_)
+    {
+        connection_->send(text_of(boost::beast::http::make_chunk_last()));
+    }
+    // Without chunks only the connection's end tells the caller that the answer is whole.
+    connection_->answer_ended(chunked_);
+}
+
+void exchange::abort()
+{
+    if (ended_)
+    {
+        return;
+    }
+    ended_ = true;
+    if (begun_ && !chunked_)
+    {
+        // A plain close would look like the end of the answer; a reset can't.
+        boost::system::error_code ignored;
+        connection_->socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
+    else
+    {
+        connection_->flush();
+    }
+    connection_->close();
+}
+
+void exchange::on_gone(std::function<void()> action)
+{
+    gone_ = std::move(action);
+}
+
+std::size_t exchange::backlog() const
+{
+    return connection_->out_.size() + connection_->sending_.size();
+}
+
+}  // namespace caraway::http
--- /dev/null
+++ b/src/libcaraway/http/listener.cpp
@@ -0,0 +1,130 @@
+#include "libcaraway/http/listener.hpp"
+
+#include <boost/asio/ip/address.hpp>
+
+namespace caraway::http
+{
+
+namespace
+{
+
+using boost::asio::ip::tcp;
+
+/// Pause after an accept that failed, as when descriptors have run out: trying on at once would
+/// take the whole processor.
+constexpr std::chrono::milliseconds accept_pause{50};
+
+}  // namespace
+
+listener::listener(boost::asio::io_context& loop, timer_queue& timers,
+                   server_connection::limits_source limits, server_connection::handler on_request,
+                   std::size_t max_connections)
+    : loop_(loop), timers_(timers), limits_(std::move(limits)), on_request_(std::move(on_request)),
+      max_connections_(max_connections), acceptor_(loop)
+{
+}
+
+base::result<void> listener::open(const routing::endpoint& address)
+{
+    boost::system::error_code error;
+    const auto ip = boost::asio::ip::make_address(address.ip, error);
+    if (error)
+    {
+        return base::make_error(base::errc::invalid_argument,
+                                "\"" + address.ip + "\" is no address to listen at.");
+    }
+    const tcp::endpoint at(ip, address.port);
+    acceptor_.open(at.protocol(), error);
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    acceptor_.bind(at, error);
+    if (!error)
+    {
+        acceptor_.listen(tcp::acceptor::max_listen_connections, error);
+    }
+    if (error)
+    {
+        return base::make_error(base::errc::unavailable,
+                                "Can't listen at " + address.ip + ":" +
+                                    std::to_string(address.port) + ": " + error.message() + ".");
+    }
+    accept();
+    return base::success();
+}
+
+std::uint16_t listener::port() const
+{
+    boost::system::error_code error;
+    return acceptor_.local_endpoint(error).port();
+}
+
+void listener::close_idle()
+{
+    drop_dead();
+    for (const auto& each : connections_)
+    {
+        if (const auto connection = each.lock())
+        {
+            connection->close_if_idle();
+        }
+    }
+}
+
+void listener::close()
+{
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+}
+
+std::size_t listener::connections()
+{
+    drop_dead();
+    return connections_.size();
+}
+
+std::size_t listener::answering()
+{
+    std::size_t count = 0;
+    for (const auto& each : connections_)
+    {
+        const auto connection = each.lock();
+        count += connection && connection->is_answering() ? 1 : 0;
+    }
+    return count;
+}
+
+void listener::accept()
+{
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& error, tcp::socket socket)
+        {
+            if (!acceptor_.is_open())
+            {
+                return;
+            }
+            if (error)
+            {
+                timers_.after(accept_pause, [this] { accept(); });
+                return;
+            }
+            if (connections_.size() >= max_connections_)
+            {
+                drop_dead();
+            }
+            // Beyond the limit a connection is closed unread: its caller knows that nothing ran.
+            if (connections_.size() < max_connections_)
+            {
+                const auto connection = std::make_shared<server_connection>(
+                    std::move(socket), timers_, limits_, on_request_);
+                connections_.push_back(connection);
+                connection->start();
+            }
+            accept();
+        });
+}
+
+void listener::drop_dead()
+{
+    std::erase_if(connections_, [](const auto& each) { return each.expired(); });
+}
+
+}  // namespace caraway::http
--- /dev/null
+++ b/src/libcaraway/http/message.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+
+/// HTTP/1.1 towards callers, upstreams, the platform's store and peers alike: Boost.Asio's sockets
+/// and Boost.Beast's parser, on one thread.
+namespace caraway::http
+{
+
+using request_head = boost::beast::http::request_header<>;
+using response_head = boost::beast::http::response_header<>;
+using field = boost::beast::http::field;
+using status = boost::beast::http::status;
+using verb = boost::beast::http::verb;
+
+/// A head of HTTP/1.1 with that status and no fields.
+inline response_head make_response(status code)
+{
+    response_head head;
+    head.version(11);
+    head.result(code);
+    return head;
+}
+
+}  // namespace caraway::http
--- /dev/null
+++ b/src/libcaraway/http/server_connection.cpp
@@ -0,0 +1,366 @@
+#include "libcaraway/http/server_connection.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/serializer.hpp>
+
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace caraway::http
+{
+
+namespace
+{
+
+namespace beast_http = boost::beast::http;
+
+/// Bytes read at a time.
+constexpr std::size_t read_size = 16384;
+/// Bytes of later requests that are read while one is answered; reading goes on only to notice
+/// that the caller leaves.
+constexpr std::size_t max_read_ahead = 65536;
+/// How long a connection that is to close may stay open for bytes under way: closing at once would
+/// reset it and could destroy the answer before the caller has read it.
+constexpr std::chrono::milliseconds drain_time{1000};
+
+std::size_t count_of(const request_head& head, field name)
+{
+    const auto [first, last] = head.equal_range(name);
+    return static_cast<std::size_t>(std::distance(first, last));
+}
+
+/// Framing that two readers could understand differently is refused: it is how one request is
+/// hidden inside another.
+bool has_clear_framing(const request_head& head)
+{
+    const auto encodings = count_of(head, field::transfer_encoding);
+    const auto lengths = count_of(head, field::content_length);
+    if (lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0))
+    {
+        return false;
+    }
+    if (encodings == 1)
+    {
+        return head.version() >= 11 &&
+               boost::algorithm::iequals(std::string(head[field::transfer_encoding]), "chunked");
+    }
+    return true;
+}
+
+bool has_one_host(const request_head& head)
+{
+    const auto hosts = count_of(head, field::host);
+    return hosts == 1 || (hosts == 0 && head.version() < 11);
+}
+
+status status_of(const boost::system::error_code& error)
+{
+    if (error == beast_http::error::header_limit)
+    {
+        return status::request_header_fields_too_large;
+    }
+    if (error == beast_http::error::body_limit)
+    {
+        return status::payload_too_large;
+    }
+    return status::bad_request;
+}
+
+}  // namespace
+
+server_connection::server_connection(socket_type socket, timer_queue& timers, limits_source limits,
+                                     handler on_request)
+    : socket_(std::move(socket)), timers_(timers), limits_source_(std::move(limits)),
+      on_request_(std::move(on_request))
+{
+}
+
+server_connection::~server_connection()
+{
+    timers_.cancel(deadline_);
+}
+
+void server_connection::start()
+{
+    boost::system::error_code ignored;
+    socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    begin_request();
+    read();
+}
+
+void server_connection::close_if_idle()
+{
+    if (!current_ && buffer_.size() == 0 && !parser_->got_some() && !writing_)
+    {
+        close();
+    }
+}
+
+void server_connection::begin_request()
+{
+    limits_ = limits_source_();
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
+    parser_->body_limit(limits_.body_bytes);
+    parser_->eager(false);
+    head_.reset();
+    set_deadline(limits_.idle_timeout);
+}
+
+void server_connection::read()
+{
+    if (reading_ || closed_ || buffer_.size() >= max_read_ahead + limits_.header_bytes)
+    {
+        return;
+    }
+    reading_ = true;
+    socket_.async_read_some(buffer_.prepare(read_size),
+                            [self = shared_from_this()](const auto& error, std::size_t bytes)
+                            { self->on_read(error, bytes); });
+}
+
+void server_connection::on_read(const boost::system::error_code& error, std::size_t bytes)
+{
+    reading_ = false;
+    if (closed_)
+    {
+        return;
+    }
+    if (error)
+    {
+        on_peer_closed();
+        return;
+    }
+    if (ending_)
+    {
+        read();
+        return;
+    }
+    buffer_.commit(bytes);
+    if (!current_)
+    {
+        parse();
+    }
+    read();
+}
+
+void server_connection::parse()
+{
+    while (buffer_.size() > 0 && !current_ && !ending_ && !closed_)
+    {
+        if (!parser_->got_some())
+        {
+            first_byte_ = timers_.now();
+            set_deadline(limits_.header_timeout);
+        }
+        boost::system::error_code error;
+        const auto used = parser_->put(buffer_.data(), error);
+        buffer_.consume(used);
+        if (error == beast_http::error::need_more)
+        {
+            if (used == 0)
+            {
+                return;
+            }
+            continue;
+        }
+        if (error)
+        {
+            reject(status_of(error));
+            return;
+        }
+        if (parser_->is_header_done() && !head_)
+        {
+            on_head();
+        }
+        if (!ending_ && !closed_ && parser_->is_done())
+        {
+            on_whole();
+        }
+    }
+}
+
+void server_connection::on_head()
+{
+    // Kept as it is now: the parser would add the fields that follow a chunked body, and a caller
+    // could use them to claim what its head did not.
+    head_ = parser_->get().base();
+    if (!has_clear_framing(*head_) || !has_one_host(*head_))
+    {
+        reject(status::bad_request);
+        return;
+    }
+    if (boost::algorithm::iequals(std::string((*head_)[field::expect]), "100-continue"))
+    {
+        send("HTTP/1.1 100 Continue\r\n\r\n");
+        flush();
+    }
+    if (!parser_->is_done())
+    {
+        set_deadline(limits_.idle_timeout);
+    }
+}
+
+void server_connection::on_whole()
+{
+    timers_.cancel(deadline_);
+    keep_ = parser_->keep_alive();
+    current_ = std::make_shared<exchange>(shared_from_this(), std::move(*head_),
+                                          std::move(parser_->get().body()), first_byte_);
+    head_.reset();
+    on_request_(current_);
+}
+
+void server_connection::reject(status code)
+{
+    keep_ = false;
+    auto head = make_response(code);
+    head.set(field::content_length, "0");
+    send_head(head);
+    answer_ended(false);
+}
+
+void server_connection::set_deadline(std::chrono::milliseconds delay)
+{
+    timers_.cancel(deadline_);
+    deadline_ = timers_.after(delay,
+                              [weak = weak_from_this()]
+                              {
+                                  if (const auto self = weak.lock())
+                                  {
+                                      self->on_deadline();
+                                  }
+                              });
+}
+
+void server_connection::on_deadline()
+{
+    if (ending_ || !parser_->got_some())
+    {
+        close();
+        return;
+    }
+    reject(status::request_timeout);
+}
+
+void server_connection::on_peer_closed()
+{
+    const auto answering = current_;
+    close();
+    if (answering && !answering->ended_)
+    {
+        answering->ended_ = true;
+        if (const auto gone = std::move(answering->gone_))
+        {
+            gone();
+        }
+    }
+}
+
+void server_connection::send_head(response_head& head)
+{
+    if (limits_source_().closing)
+    {
+        keep_ = false;
+    }
+    if (keep_)
+    {
+        const auto seconds =
+            std::chrono::duration_cast<std::chrono::seconds>(limits_.idle_timeout).count();
+        head.set(field::keep_alive, "timeout=" + std::to_string(seconds));
+    }
+    else
+    {
+        head.set(field::connection, "close");
+    }
+    beast_http::response<beast_http::empty_body> message{std::move(head)};
+    beast_http::response_serializer<beast_http::empty_body> serializer{message};
+    serializer.split(true);
+    boost::system::error_code error;
+    serializer.next(error, [this](const auto&, const auto& buffers)
+                    { out_ += boost::beast::buffers_to_string(buffers); });
+}
+
+void server_connection::send(std::string_view bytes)
+{
+    if (!closed_)
+    {
+        out_ += bytes;
+    }
+}
+
+void server_connection::flush()
+{
+    if (writing_ || out_.empty() || closed_)
+    {
+        return;
+    }
+    writing_ = true;
+    sending_.swap(out_);
+    out_.clear();
+    boost::asio::async_write(socket_, boost::asio::buffer(sending_),
+                             [self = shared_from_this()](const auto& error, std::size_t)
+                             {
+                                 self->writing_ = false;
+                                 self->sending_.clear();
+                                 if (error)
+                                 {
+                                     self->on_peer_closed();
+                                     return;
+                                 }
+                                 self->flush();
+                                 if (self->ending_ && !self->writing_)
+                                 {
+                                     self->end_writing();
+                                 }
+                             });
+}
+
+void server_connection::answer_ended(bool keep)
+{
+    current_.reset();
+    if (closed_)
+    {
+        return;
+    }
+    if (keep && keep_)
+    {
+        flush();
+        begin_request();
+        parse();
+        read();
+        return;
+    }
+    ending_ = true;
+    set_deadline(drain_time);
+    if (out_.empty() && !writing_)
+    {
+        end_writing();
+        return;
+    }
+    flush();
+    read();
+}
+
+void server_connection::end_writing()
+{
+    boost::system::error_code ignored;
+    socket_.shutdown(socket_type::shutdown_send, ignored);
+}
+
+void server_connection::close()
+{
+    if (closed_)
+    {
+        return;
+    }
+    closed_ = true;
+    timers_.cancel(deadline_);
+    current_.reset();
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+}  // namespace caraway::http
--- a/src/libcaraway/metrics/registry.cpp
+++ b/src/libcaraway/metrics/registry.cpp
@@ -2,8 +2,6 @@
 
 #include "libcaraway/metrics/prometheus_format.hpp"
 
-#include <QString>
-
 #include <map>
 #include <mutex>
 #include <shared_mutex>
@@ -63,23 +61,14 @@
     return *slot;
 }
 
-QJsonObject summary(const histogram& values)
-{
-    return {{"count", static_cast<qint64>(values.count())},
-            {"sum", values.sum()},
-            {"p50", values.quantile(0.50)},
-            {"p95", values.quantile(0.95)},
-            {"p99", values.quantile(0.99)}};
-}
-
-template <class Metric, class Render>
-void dump_into(QJsonObject& out, const family_map<Metric>& all, Render render)
+template <class Metric, class Read>
+void list_into(std::vector<series_value>& out, const family_map<Metric>& all, Read read)
 {
     for (const auto& [metric_name, one] : all)
     {
         for (const auto& [which, value] : one.series)
         {
-            out[QString::fromStdString(series_name(metric_name, which))] = render(*value);
+            out.push_back({.name = series_name(metric_name, which), .value = read(*value)});
         }
     }
 }
@@ -145,14 +134,13 @@
     return out;
 }
 
-QJsonObject registry::dump() const
+std::vector<series_value> registry::values() const
 {
     const std::shared_lock lock(families_->mutex);
-    QJsonObject out;
-    dump_into(out, families_->counters,
-              [](const metrics::counter& c) { return static_cast<qint64>(c.value()); });
-    dump_into(out, families_->gauges, [](const metrics::gauge& g) { return g.value(); });
-    dump_into(out, families_->histograms, summary);
+    std::vector<series_value> out;
+    list_into(out, families_->counters, [](const metrics::counter& c) { return c.value(); });
+    list_into(out, families_->gauges, [](const metrics::gauge& g) { return g.value(); });
+    list_into(out, families_->histograms, [](const metrics::histogram& h) { return &h; });
     return out;
 }
 
--- a/src/libcaraway/metrics/registry.hpp
+++ b/src/libcaraway/metrics/registry.hpp
@@ -4,11 +4,11 @@
 #include "libcaraway/metrics/gauge.hpp"
 #include "libcaraway/metrics/histogram.hpp"
 
-#include <QJsonObject>
-
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <tuple>
+#include <variant>
 #include <vector>
 
 namespace caraway::metrics
@@ -36,6 +36,13 @@
     std::string help;
 };
 
+/// One series, by the name that Prometheus gives it, and what it holds.
+struct series_value
+{
+    std::string name;
+    std::variant<std::uint64_t, double, const histogram*> value;
+};
+
 /// Series that one metric may have. More are refused: the surplus is counted together in one
 /// series whose label values are all "other", so that a fault in a label can't fill the memory.
 inline constexpr std::size_t max_series = 1024;
@@ -58,9 +65,8 @@
     /// Everything in Prometheus' text format, version 0.0.4.
     std::string prometheus_text() const;
 
-    /// Everything for the dump: counters and gauges as numbers, histograms as count, sum and the
-    /// 50th, 95th and 99th percentile.
-    QJsonObject dump() const;
+    /// Every series as it stands; histograms stay valid as long as the registry.
+    std::vector<series_value> values() const;
 
 private:
     struct families;
--- /dev/null
+++ b/src/libcaraway/router/core.cpp
@@ -0,0 +1,147 @@
+#include "libcaraway/router/core.hpp"
+
+#include "libcaraway/router/request_session.hpp"
+
+namespace caraway::router
+{
+
+namespace
+{
+
+/// After so many waiting requests in a row found no place, the rest are taken to find none either:
+/// a pump looks at upstreams for each, and comes again with the next place that is free.
+constexpr std::size_t max_misses = 12;
+
+scheduling::scheduler_options health_settings()
+{
+    scheduling::scheduler_options options;
+    // A runner that came back is used again within seconds: the calls that find out are few.
+    options.ejection_base = std::chrono::milliseconds(400);
+    options.ejection_max = std::chrono::milliseconds(3000);
+    return options;
+}
+
+}  // namespace
+
+core::core(boost::asio::io_context& loop_, const base::clock& clock_, settings options_,
+           caller_protocol protocol_, telemetry::line_log& log_)
+    : loop(loop_), clock(clock_), options(std::move(options_)), protocol(std::move(protocol_)),
+      log(log_), timers(loop, clock), pool(loop, timers), retries(options.retries),
+      placer({.zone = options.zone}), health_options(health_settings()), health(health_options),
+      random_(std::random_device{}())
+{
+    shares.set_window(options.share_window);
+}
+
+bool core::adopt(routing::configuration accepted, std::string_view from)
+{
+    if (accepted.version <= version())
+    {
+        return false;
+    }
+    log.line("configuration", {{"version", static_cast<std::uint64_t>(accepted.version)},
+                               {"before", static_cast<std::uint64_t>(version())},
+                               {"from", from},
+                               {"routes", accepted.routes.size()},
+                               {"workspaces", accepted.workspaces.size()}});
+    shares.set_capacity(accepted.tokens_per_second);
+    table_ = std::make_shared<const routing::route_table>(std::move(accepted));
+    return true;
+}
+
+base::config_version core::version() const
+{
+    return table_ ? table_->accepted().version : base::config_version{};
+}
+
+void core::handle(const std::shared_ptr<http::exchange>& request)
+{
+    ++requests;
+    std::make_shared<request_session>(*this, request)->start();
+}
+
+void core::pump()
+{
+    if (pumping_ || line.size() == 0)
+    {
+        return;
+    }
+    pumping_ = true;
+    const auto at = now();
+    const auto order = line.order([&](const auto& id) { return shares.fill(id, at); });
+    std::size_t misses = 0;
+    for (const auto id : order)
+    {
+        const auto found = waiting_.find(id);
+        const auto session = found == waiting_.end() ? nullptr : found->second.lock();
+        if (!session)
+        {
+            stop_waiting(id);
+            continue;
+        }
+        if (session->try_place())
+        {
+            stop_waiting(id);
+            continue;
+        }
+        if (++misses >= max_misses)
+        {
+            break;
+        }
+    }
+    pumping_ = false;
+}
+
+void core::expire_waiting()
+{
+    for (const auto id : line.take_expired(now()))
+    {
+        const auto found = waiting_.find(id);
+        const auto session = found == waiting_.end() ? nullptr : found->second.lock();
+        waiting_.erase(id);
+        if (session)
+        {
+            session->on_waited_too_long();
+        }
+    }
+}
+
+routing::ticket core::wait(const std::shared_ptr<request_session>& session,
+                           const routing::waiting_request& request)
+{
+    const auto id = line.add(request);
+    waiting_[id] = session;
+    timers.at(request.until, [this] { expire_waiting(); });
+    return id;
+}
+
+void core::stop_waiting(routing::ticket id)
+{
+    line.remove(id);
+    waiting_.erase(id);
+}
+
+void core::note_attempt(const base::upstream_id& id, const base::service_id& service,
+                        scheduling::attempt_result result)
+{
+    std::vector<base::upstream_id> peers;
+    for (const auto* each : directory.usable(service))
+    {
+        peers.push_back(each->id);
+    }
+    const bool was_ejected = health.ejected(id, now());
+    if (health.note(id, result, peers, now()))
+    {
+        log.line("upstream_health", {{"upstream", id.str()},
+                                     {"ejected", health.ejected(id, now())},
+                                     {"before", was_ejected},
+                                     {"because", scheduling::name(result)}});
+    }
+}
+
+double core::draw()
+{
+    return std::uniform_real_distribution<double>(0, 1)(random_);
+}
+
+}  // namespace caraway::router
--- /dev/null
+++ b/src/libcaraway/router/core.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "libcaraway/http/server_connection.hpp"
+#include "libcaraway/http/upstream_pool.hpp"
+#include "libcaraway/metrics/registry.hpp"
+#include "libcaraway/router/ports.hpp"
+#include "libcaraway/router/settings.hpp"
+#include "libcaraway/routing/load_board.hpp"
+#include "libcaraway/routing/peer_table.hpp"
+#include "libcaraway/routing/placer.hpp"
+#include "libcaraway/routing/retry_ledger.hpp"
+#include "libcaraway/routing/route_table.hpp"
+#include "libcaraway/routing/waiting_line.hpp"
+#include "libcaraway/routing/workspace_shares.hpp"
+#include "libcaraway/scheduling/upstream_health.hpp"
+#include "libcaraway/telemetry/line_log.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <random>
+
+namespace caraway::router
+{
+
+class request_session;
+
+/// What requests share: the decisions' state, the connections, the log. One thread only.
+class core
+{
+public:
+    core(boost::asio::io_context& loop, const base::clock& clock, settings options,
+         caller_protocol protocol, telemetry::line_log& log);
+
+    /// Puts a newer configuration in force; an older one, or the same, changes nothing: what a
+    /// router has once done it doesn't undo, however late another copy arrives.
+    bool adopt(routing::configuration accepted, std::string_view from);
+    std::shared_ptr<const routing::route_table> table() const
+    {
+        return table_;
+    }
+    base::config_version version() const;
+
+    void handle(const std::shared_ptr<http::exchange>& request);
+    /// Gives places to those that wait; called when something may have become free.
+    void pump();
+    /// Refuses those that have waited for too long.
+    void expire_waiting();
+
+    routing::ticket wait(const std::shared_ptr<request_session>& session,
+                         const routing::waiting_request& request);
+    void stop_waiting(routing::ticket id);
+
+    void note_attempt(const base::upstream_id& id, const base::service_id& service,
+                      scheduling::attempt_result result);
+    /// Uniform in [0, 1).
+    double draw();
+
+    base::time_point now() const
+    {
+        return clock.now();
+    }
+
+    boost::asio::io_context& loop;
+    const base::clock& clock;
+    settings options;
+    caller_protocol protocol;
+    telemetry::line_log& log;
+    http::timer_queue timers;
+    http::upstream_pool pool;
+    metrics::registry metrics;
+    routing::upstream_directory directory;
+    routing::load_board board;
+    routing::workspace_shares shares;
+    routing::waiting_line line;
+    routing::retry_ledger retries;
+    routing::placer placer;
+    scheduling::scheduler_options health_options;
+    scheduling::upstream_health health;
+    /// Requests that came in, ever.
+    std::uint64_t requests = 0;
+    /// SIGTERM came; new requests are refused from then on.
+    std::optional<base::time_point> refuse_from;
+
+private:
+    std::shared_ptr<const routing::route_table> table_;
+    std::map<routing::ticket, std::weak_ptr<request_session>> waiting_;
+    std::mt19937_64 random_;
+    bool pumping_ = false;
+};
+
+}  // namespace caraway::router
--- /dev/null
+++ b/src/libcaraway/router/daemon.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "libcaraway/http/listener.hpp"
+#include "libcaraway/router/peer_link.hpp"
+#include "libcaraway/router/table_sync.hpp"
+
+#include <boost/asio/signal_set.hpp>
+
+namespace caraway::router
+{
+
+/// The whole router: listeners, the platform's tables, peers, and the way to a planned stop.
+class daemon
+{
+public:
+    daemon(boost::asio::io_context& loop, const base::clock& clock, settings options,
+           caller_protocol protocol, platform_port platform, telemetry::line_log& log);
+
+    /// Opens all addresses. Errors: one is taken or isn't this machine's.
+    base::result<void> start();
+    /// A planned stop: callers are led away, what is in flight ends, then the loop.
+    void stop();
+    /// The settings file has changed: what can change in a life is read again.
+    std::function<void()> on_reload;
+
+    /// What it knows and does, for people.
+    nlohmann::ordered_json state();
+
+private:
+    void open_tables(platform_port platform);
+    void open_listeners();
+    void watch_signals();
+
+    void tick();
+    void notice_suspension(base::time_point now);
+    void ask_peers(base::time_point now);
+    void tell_store(base::time_point now);
+    void progress_stop(base::time_point now);
+    void set_shares_of_limits();
+
+    void take_configuration(const std::string& text, std::string_view from);
+    void take_upstreams(const std::vector<row>& rows, bool whole);
+    void take_routers(const std::vector<row>& rows);
+    void take_copy(const table_copy& copy);
+    table_copy make_copy() const;
+    routing::digest make_digest();
+    row own_row() const;
+
+    bool ready() const;
+    bool is_stopping() const
+    {
+        return stopping_since_.has_value();
+    }
+    bool knows_all() const;
+
+    void answer_readiness(const std::shared_ptr<http::exchange>& request);
+    void answer_directory(const std::shared_ptr<http::exchange>& request);
+    void answer_control(const std::shared_ptr<http::exchange>& request);
+    void answer_metrics(const std::shared_ptr<http::exchange>& request);
+    std::string metrics_text();
+
+    core core_;
+    platform_port platform_;
+    std::uint64_t life_;
+    std::uint64_t digests_ = 0;
+    routing::peer_table peers_;
+    peer_link link_;
+    boost::asio::signal_set signals_;
+
+    std::unique_ptr<table_sync> configurations_;
+    std::unique_ptr<table_sync> upstreams_;
+    std::string configuration_text_;
+    std::map<std::string, std::string> upstream_rows_;
+
+    std::unique_ptr<http::listener> callers_;
+    std::unique_ptr<http::listener> readiness_;
+    std::unique_ptr<http::listener> directory_;
+    std::unique_ptr<http::listener> control_;
+    std::unique_ptr<http::listener> metrics_;
+
+    std::optional<base::time_point> stopping_since_;
+    base::time_point last_tick_{};
+    base::time_point next_sweep_{};
+    base::time_point next_ask_{};
+    base::time_point next_own_row_{};
+    base::time_point next_routers_read_{};
+    std::size_t seed_ = 0;
+    bool own_row_written_ = false;
+    bool store_busy_ = false;
+};
+
+}  // namespace caraway::router
--- /dev/null
+++ b/src/libcaraway/router/peer_link.cpp
@@ -0,0 +1,164 @@
+#include "libcaraway/router/peer_link.hpp"
+
+#include <boost/asio/ip/address.hpp>
+
+namespace caraway::router
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// A peer's answer is in memory; a router that takes longer is in trouble itself.
+constexpr std::chrono::milliseconds ask_timeout{500};
+
+}  // namespace
+
+std::string encode(const table_copy& copy)
+{
+    auto upstreams = json::array();
+    for (const auto& each : copy.upstreams)
+    {
+        upstreams.push_back({each.key, each.value});
+    }
+    auto routers = json::array();
+    for (const auto& each : copy.routers)
+    {
+        routers.push_back({each.ip, each.port});
+    }
+    return json{{"configuration", copy.configuration},
+                {"configuration_version", static_cast<std::uint64_t>(copy.version)},
+                {"upstreams", upstreams},
+                {"routers", routers}}
+        .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+base::result<table_copy> decode_copy(const std::string& text)
+{
+    try
+    {
+        const auto from = json::parse(text);
+        table_copy copy{
+            .configuration = from.at("configuration").get<std::string>(),
+            .version = base::config_version{from.at("configuration_version").get<std::uint64_t>()}};
+        for (const auto& each : from.at("upstreams"))
+        {
+            copy.upstreams.push_back({.key = each.at(0).get<std::string>(),
+                                      .value = each.at(1).get<std::string>()});
+        }
+        for (const auto& each : from.at("routers"))
+        {
+            copy.routers.push_back({.ip = each.at(0).get<std::string>(),
+                                    .port = each.at(1).get<std::uint16_t>()});
+        }
+        return copy;
+    }
+    catch (const json::exception& wrong)
+    {
+        return base::make_error(base::errc::corrupt, wrong.what());
+    }
+}
+
+peer_link::peer_link(core& shared, routing::peer_table& peers, digest_source make_digest,
+                     copy_taker take_copy)
+    : core_(shared), peers_(peers), make_digest_(std::move(make_digest)),
+      take_copy_(std::move(take_copy)), socket_(shared.loop), caller_(shared.loop, shared.timers)
+{
+}
+
+base::result<void> peer_link::open(const routing::endpoint& at)
+{
+    boost::system::error_code error;
+    const auto ip = boost::asio::ip::make_address(at.ip, error);
+    const udp::endpoint local(ip, at.port);
+    socket_.open(local.protocol(), error);
+    socket_.bind(local, error);
+    socket_.non_blocking(true, error);
+    if (error)
+    {
+        return base::make_error(base::errc::unavailable, "Can't receive datagrams at " + at.ip +
+                                                             ":" + std::to_string(at.port) + ": " +
+                                                             error.message() + ".");
+    }
+    receive();
+    return base::success();
+}
+
+void peer_link::tell()
+{
+    const auto due = peers_.take_due(core_.now());
+    if (due.empty())
+    {
+        return;
+    }
+    const auto bytes = routing::encode(make_digest_());
+    for (const auto& each : due)
+    {
+        boost::system::error_code error;
+        const auto ip = boost::asio::ip::make_address(each.ip, error);
+        // A digest that can't be sent now is replaced by the next.
+        socket_.send_to(boost::asio::buffer(bytes), udp::endpoint(ip, each.port), 0, error);
+    }
+}
+
+void peer_link::ask(const std::optional<routing::endpoint>& from)
+{
+    if (!from || caller_.busy())
+    {
+        return;
+    }
+    caller_.call(*from, http::get_request(*from, "/tables"), ask_timeout,
+                 [this, peer = *from](base::result<http::whole_answer> result)
+                 {
+                     if (!result || result.value().status != 200)
+                     {
+                         return;
+                     }
+                     const auto copy = decode_copy(result.value().body);
+                     if (!copy)
+                     {
+                         core_.log.line("peer_copy_unreadable",
+                                        {{"peer", peer.ip}, {"because", copy.error().message}});
+                         return;
+                     }
+                     take_copy_(copy.value());
+                 });
+}
+
+void peer_link::receive()
+{
+    socket_.async_receive_from(boost::asio::buffer(buffer_), sender_,
+                               [this](const boost::system::error_code& error, std::size_t bytes)
+                               {
+                                   if (error == boost::asio::error::operation_aborted)
+                                   {
+                                       return;
+                                   }
+                                   if (!error)
+                                   {
+                                       on_digest({buffer_.data(), bytes});
+                                   }
+                                   receive();
+                               });
+}
+
+void peer_link::on_digest(std::string_view bytes)
+{
+    auto received = routing::decode(bytes);
+    if (!received)
+    {
+        core_.log.line("digest_unreadable", {{"because", received.error().message}});
+        return;
+    }
+    auto& from = received.value();
+    const auto now = core_.now();
+    if (!peers_.heard(from, now))
+    {
+        return;
+    }
+    core_.board.set_peer(from.from, std::move(from.loads), now);
+    core_.shares.set_peer(from.from, std::move(from.usages), now);
+}
+
+}  // namespace caraway::router
--- /dev/null
+++ b/src/libcaraway/router/peer_link.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "libcaraway/http/whole_call.hpp"
+#include "libcaraway/router/core.hpp"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+
+namespace caraway::router
+{
+
+/// What a router hands to a peer that can't reach the platform's store: the rows as they stand
+/// there, so that the peer decodes them by itself.
+struct table_copy
+{
+    std::string configuration;
+    base::config_version version{};
+    std::vector<row> upstreams;
+    /// Control addresses of routers that the sender knows.
+    std::vector<routing::endpoint> routers;
+};
+
+std::string encode(const table_copy& copy);
+base::result<table_copy> decode_copy(const std::string& text);
+
+/// Speaks with the other routers: digests by datagram, copies of the platform's tables by HTTP.
+class peer_link
+{
+public:
+    using copy_taker = std::function<void(const table_copy&)>;
+    using digest_source = std::function<routing::digest()>;
+
+    peer_link(core& shared, routing::peer_table& peers, digest_source make_digest,
+              copy_taker take_copy);
+
+    base::result<void> open(const routing::endpoint& at);
+
+    /// Sends digests to whom they are due.
+    void tell();
+    /// Asks for a copy of the tables if `from` is given and no question is under way.
+    void ask(const std::optional<routing::endpoint>& from);
+
+private:
+    using udp = boost::asio::ip::udp;
+
+    void receive();
+    void on_digest(std::string_view bytes);
+
+    core& core_;
+    routing::peer_table& peers_;
+    digest_source make_digest_;
+    copy_taker take_copy_;
+    udp::socket socket_;
+    udp::endpoint sender_;
+    std::array<char, 65536> buffer_{};
+    http::whole_caller caller_;
+};
+
+}  // namespace caraway::router
--- /dev/null
+++ b/src/libcaraway/router/request_session.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "libcaraway/http/event_splitter.hpp"
+#include "libcaraway/router/core.hpp"
+#include "libcaraway/routing/admission.hpp"
+#include "libcaraway/routing/attempt_policy.hpp"
+
+namespace caraway::router
+{
+
+/// One request from its arrival to its end: understood, given a place, sent, answered. Keeps itself
+/// alive through what it waits for.
+class request_session : public std::enable_shared_from_this<request_session>
+{
+public:
+    request_session(core& shared, std::shared_ptr<http::exchange> request);
+    ~request_session();
+
+    void start();
+    /// Sends it if some upstream has a place now.
+    bool try_place();
+    void on_waited_too_long();
+
+private:
+    /// An attempt at one upstream.
+    struct attempt
+    {
+        routing::placement place;
+        std::shared_ptr<http::client_connection> connection;
+        base::time_point sent{};
+        std::optional<http::response_head> head;
+        answer_facts facts;
+        std::string body;
+        http::event_splitter events;
+        bool streams = false;
+        bool prompt_read = false;
+    };
+
+    bool find_route();
+    bool find_workspace();
+    void count_arrival();
+    void look_for_place();
+
+    void send(routing::placement place);
+    http::call_events events_of(const std::shared_ptr<attempt>& of);
+    void on_head(attempt& of, const http::response_head& head);
+    void on_body(attempt& of, std::string_view part);
+    void on_end(attempt& of);
+    void on_failed(attempt& of, http::call_failure why);
+    void relay_events(attempt& of);
+    void begin_answer(const attempt& of);
+
+    void attempt_ended(routing::attempt_end how);
+    void release_attempt();
+    void deliver(const attempt& of);
+    void refuse(std::string_view reason);
+    /// Ends it for want of an upstream, by what is known of earlier attempts.
+    void no_place(std::string_view reason);
+    /// A final answer of the router's own.
+    void answer(http::status code, std::string_view reason,
+                std::optional<std::chrono::milliseconds> come_back = std::nullopt);
+    void break_off(std::string_view reason);
+    void end(std::string_view outcome, unsigned status, std::string_view reason);
+    void on_deadline();
+    void on_gone();
+
+    http::response_head head_for_caller(const http::response_head& from) const;
+    bool is_idempotent() const;
+    double fill() const;
+    double tokens() const;
+    std::uint32_t expected_output() const;
+    std::chrono::milliseconds time_left() const;
+
+    core& core_;
+    std::shared_ptr<http::exchange> request_;
+    std::shared_ptr<const routing::route_table> table_;
+    routing::request_facts facts_;
+    const routing::route* route_ = nullptr;
+    const routing::service* service_ = nullptr;
+    const routing::workspace* workspace_ = nullptr;
+    base::workspace_id account_;
+    base::time_point deadline_{};
+    http::timer_queue::handle deadline_timer_;
+    std::optional<routing::ticket> ticket_;
+    std::shared_ptr<attempt> attempt_;
+    std::vector<base::upstream_id> tried_;
+    std::uint32_t sent_ = 0;
+    std::uint32_t unreachable_ = 0;
+    bool may_have_run_ = false;
+    bool counted_ = false;
+    bool begun_ = false;
+    bool ended_ = false;
+    std::optional<std::uint64_t> last_event_;
+    base::time_point first_piece_{};
+};
+
+}  // namespace caraway::router
--- /dev/null
+++ b/src/libcaraway/router/settings.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "libcaraway/base/ids.hpp"
+#include "libcaraway/routing/retry_ledger.hpp"
+#include "libcaraway/routing/upstream_directory.hpp"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace caraway::router
+{
+
+/// What a router is told at its start.
+struct settings
+{
+    base::node_id name;
+    base::zone_id zone;
+    routing::endpoint callers;
+    routing::endpoint readiness;
+    routing::endpoint control;
+    routing::endpoint directory;
+    routing::endpoint metrics;
+    routing::endpoint datagrams;
+    routing::endpoint store;
+    /// Control addresses of some routers; they may be old.
+    std::vector<routing::endpoint> seeds;
+    routing::retry_options retries;
+    std::chrono::milliseconds share_window{4000};
+    /// From SIGTERM to SIGKILL.
+    std::chrono::milliseconds grace{8000};
+    /// How long callers keep a list of routers, and the longest that some keep it.
+    std::chrono::seconds entry_lifetime{1};
+    std::size_t max_descriptors = 4096;
+};
+
+}  // namespace caraway::router
--- /dev/null
+++ b/src/libcaraway/router/table_sync.cpp
@@ -0,0 +1,82 @@
+#include "libcaraway/router/table_sync.hpp"
+
+namespace caraway::router
+{
+
+table_sync::table_sync(std::string name, http::timer_queue& timers, telemetry::line_log& log,
+                       table_port port, routing::follower_options options, events on)
+    : name_(std::move(name)), timers_(timers), log_(log), port_(std::move(port)),
+      follower_(options), on_(std::move(on))
+{
+}
+
+void table_sync::start()
+{
+    schedule();
+}
+
+void table_sync::schedule()
+{
+    timers_.at(follower_.next(timers_.now()).at, [this] { call(); });
+}
+
+void table_sync::call()
+{
+    const auto next = follower_.next(timers_.now());
+    if (next.what == routing::row_follower::step::read_all)
+    {
+        port_.read_all([this](auto result) { on_answer(true, std::move(result)); });
+        return;
+    }
+    port_.follow(next.after, next.hold,
+                 [this](auto result) { on_answer(false, std::move(result)); });
+}
+
+void table_sync::on_answer(bool whole, base::result<rows_answer> result)
+{
+    const auto now = timers_.now();
+    if (!result)
+    {
+        note_failure(result.error());
+        schedule();
+        return;
+    }
+    if (result.value().history_gone)
+    {
+        log_.line("store_history_gone", {{"table", name_}, {"after", follower_.revision()}});
+        follower_.history_gone(now);
+        schedule();
+        return;
+    }
+    const bool was_lost = follower_.lost();
+    follower_.answered(result.value().revision, now);
+    if (was_lost)
+    {
+        log_.line("store_back", {{"table", name_}, {"revision", follower_.revision()}});
+        on_.back();
+    }
+    if (whole)
+    {
+        on_.all(result.value().rows);
+    }
+    else if (!result.value().rows.empty())
+    {
+        on_.changed(result.value().rows);
+    }
+    schedule();
+}
+
+void table_sync::note_failure(const base::error& why)
+{
+    const bool was_lost = follower_.lost();
+    follower_.failed(timers_.now());
+    if (was_lost)
+    {
+        return;
+    }
+    log_.line("store_lost",
+              {{"table", name_}, {"because", why.message}, {"revision", follower_.revision()}});
+    on_.lost();
+}
+
+}  // namespace caraway::router
--- /dev/null
+++ b/src/libcaraway/router/table_sync.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "libcaraway/http/timer_queue.hpp"
+#include "libcaraway/router/ports.hpp"
+#include "libcaraway/routing/row_follower.hpp"
+#include "libcaraway/telemetry/line_log.hpp"
+
+namespace caraway::router
+{
+
+/// Keeps one table of the platform's store followed: makes the calls that the follower wants and
+/// hands on what they bring.
+class table_sync
+{
+public:
+    struct events
+    {
+        /// The whole table.
+        std::function<void(const std::vector<row>&)> all;
+        /// Rows that changed, in order.
+        std::function<void(const std::vector<row>&)> changed;
+        std::function<void()> lost;
+        std::function<void()> back;
+    };
+
+    table_sync(std::string name, http::timer_queue& timers, telemetry::line_log& log,
+               table_port port, routing::follower_options options, events on);
+
+    void start();
+    bool lost() const
+    {
+        return follower_.lost();
+    }
+    bool has_read() const
+    {
+        return follower_.has_read();
+    }
+
+private:
+    void call();
+    void schedule();
+    void on_answer(bool whole, base::result<rows_answer> result);
+    void note_failure(const base::error& why);
+
+    std::string name_;
+    http::timer_queue& timers_;
+    telemetry::line_log& log_;
+    table_port port_;
+    routing::row_follower follower_;
+    events on_;
+};
+
+}  // namespace caraway::router
--- /dev/null
+++ b/src/libcaraway/routing/admission.cpp
@@ -0,0 +1,43 @@
+#include "libcaraway/routing/admission.hpp"
+
+#include <algorithm>
+
+namespace caraway::routing
+{
+
+namespace
+{
+
+milliseconds part_of(milliseconds whole, double part)
+{
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(whole.count()) * part));
+}
+
+/// No sooner than a round trip and a step of an engine.
+constexpr milliseconds soonest{50};
+/// The window of shares (4 s) moves on by a quarter.
+constexpr milliseconds beyond_share{1000};
+
+}  // namespace
+
+admission_terms admit(const route& by, double fill, const admission_options& options)
+{
+    const auto target = by.latency_target;
+    if (fill < 1)
+    {
+        return {.longest_wait = part_of(target, options.engine_wait),
+                .slot_share = 1,
+                .hold = part_of(target, options.hold)};
+    }
+    return {.longest_wait = part_of(target, options.engine_wait_beyond),
+            .slot_share = options.slots_beyond,
+            .hold = part_of(target, options.hold_beyond)};
+}
+
+milliseconds retry_after(const route& by, double fill, double draw)
+{
+    const auto base = fill < 1 ? part_of(by.latency_target, 0.3) : beyond_share;
+    return std::max(soonest, part_of(base, 0.7 + 0.6 * draw));
+}
+
+}  // namespace caraway::routing
--- /dev/null
+++ b/src/libcaraway/routing/admission.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "libcaraway/routing/configuration.hpp"
+
+namespace caraway::routing
+{
+
+struct admission_options
+{
+    /// Of the time in which an answer is on time, the part that a request within its workspace's
+    /// share may wait behind other prompts at an engine.
+    double engine_wait = 0.6;
+    /// And the part that it may wait at the router for a place.
+    double hold = 0.5;
+    /// The same for a request beyond its workspace's share: it takes what would idle.
+    double engine_wait_beyond = 0.25;
+    double hold_beyond = 0.12;
+    /// Part of an engine's slots open to requests beyond their share; the rest is kept so that
+    /// those within it find a place at once.
+    double slots_beyond = 0.8;
+    /// Requests that may wait at a router for each that fits an upstream's slots.
+    std::size_t longest_line = 200;
+};
+
+/// On which terms a request looks for a place.
+struct admission_terms
+{
+    milliseconds longest_wait{};
+    double slot_share = 1;
+    /// How long it may wait at the router; then it is refused.
+    milliseconds hold{};
+};
+
+/// `fill` is what the workspace has had of its share, 1 being all (workspace_shares::fill).
+admission_terms admit(const route& by, double fill, const admission_options& options = {});
+
+/// When a refused caller should come back: `draw` is uniform in [0, 1) and spreads those refused at
+/// one moment. A caller within its share comes back soon, while its answer can still be on time;
+/// one beyond it when the window over which shares are kept has moved on.
+milliseconds retry_after(const route& by, double fill, double draw);
+
+}  // namespace caraway::routing
--- /dev/null
+++ b/src/libcaraway/routing/digest.cpp
@@ -0,0 +1,120 @@
+#include "libcaraway/routing/digest.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace caraway::routing
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// First field of each digest; another format gets another number.
+constexpr std::uint64_t format = 1;
+constexpr std::size_t fields = 13;
+
+json endpoint_json(const endpoint& of)
+{
+    return json::array({of.ip, of.port});
+}
+
+endpoint endpoint_of(const json& from)
+{
+    return {.ip = from.at(0).get<std::string>(), .port = from.at(1).get<std::uint16_t>()};
+}
+
+json loads_json(const upstream_loads& loads)
+{
+    auto out = json::array();
+    for (const auto& [id, load] : loads)
+    {
+        out.push_back({id.str(), load.running, load.unread_tokens, load.held_tokens});
+    }
+    return out;
+}
+
+upstream_loads loads_of(const json& from)
+{
+    upstream_loads loads;
+    for (const auto& each : from)
+    {
+        loads[base::upstream_id(each.at(0).get<std::string>())] = {
+            .running = each.at(1).get<std::uint32_t>(),
+            .unread_tokens = each.at(2).get<std::uint64_t>(),
+            .held_tokens = each.at(3).get<std::uint64_t>()};
+    }
+    return loads;
+}
+
+json usages_json(const workspace_usages& usages)
+{
+    auto out = json::array();
+    for (const auto& [id, usage] : usages)
+    {
+        out.push_back({id.str(), static_cast<std::uint64_t>(usage.asked),
+                       static_cast<std::uint64_t>(usage.served)});
+    }
+    return out;
+}
+
+workspace_usages usages_of(const json& from)
+{
+    workspace_usages usages;
+    for (const auto& each : from)
+    {
+        usages[base::workspace_id(each.at(0).get<std::string>())] = {
+            .asked = each.at(1).get<double>(), .served = each.at(2).get<double>()};
+    }
+    return usages;
+}
+
+digest digest_of(const json& from)
+{
+    return {.from = base::node_id(from.at(1).get<std::string>()),
+            .life = from.at(2).get<std::uint64_t>(),
+            .number = from.at(3).get<std::uint64_t>(),
+            .zone = base::zone_id(from.at(4).get<std::string>()),
+            .callers = endpoint_of(from.at(5)),
+            .control = endpoint_of(from.at(6)),
+            .datagrams = endpoint_of(from.at(7)),
+            .ready = from.at(8).get<bool>(),
+            .version = base::config_version{from.at(9).get<std::uint64_t>()},
+            .store_reached = from.at(10).get<bool>(),
+            .loads = loads_of(from.at(11)),
+            .usages = usages_of(from.at(12))};
+}
+
+}  // namespace
+
+std::string encode(const digest& what)
+{
+    const auto all = json::array(
+        {format, what.from.str(), what.life, what.number, what.zone.str(),
+         endpoint_json(what.callers), endpoint_json(what.control), endpoint_json(what.datagrams),
+         what.ready, static_cast<std::uint64_t>(what.version), what.store_reached,
+         loads_json(what.loads), usages_json(what.usages)});
+    std::string out;
+    json::to_cbor(all, out);
+    return out;
+}
+
+base::result<digest> decode(std::string_view bytes)
+{
+    const auto all = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    const bool known = all.is_array() && all.size() >= fields && all.at(0) == format;
+    if (!known)
+    {
+        return base::make_error(base::errc::corrupt, "A datagram that is no digest.");
+    }
+    try
+    {
+        return digest_of(all);
+    }
+    catch (const json::exception& wrong)
+    {
+        return base::make_error(base::errc::corrupt, wrong.what());
+    }
+}
+
+}  // namespace caraway::routing
--- /dev/null
+++ b/src/libcaraway/routing/digest.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "libcaraway/base/error.hpp"
+#include "libcaraway/base/units.hpp"
+#include "libcaraway/routing/load_board.hpp"
+#include "libcaraway/routing/upstream_directory.hpp"
+#include "libcaraway/routing/workspace_shares.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace caraway::routing
+{
+
+/// What one router tells all others many times a second; state, so that a lost or repeated one
+/// changes nothing.
+struct digest
+{
+    base::node_id from;
+    /// Drawn at the start of the process; larger is later.
+    std::uint64_t life = 0;
+    std::uint64_t number = 0;
+    base::zone_id zone;
+    /// Where callers connect, where peers ask, where digests go.
+    endpoint callers;
+    endpoint control;
+    endpoint datagrams;
+    /// Takes new callers.
+    bool ready = false;
+    base::config_version version{};
+    /// The sender's copy of the platform's tables is fresh.
+    bool store_reached = false;
+    upstream_loads loads;
+    workspace_usages usages;
+};
+
+/// CBOR (RFC 8949), by library.
+std::string encode(const digest& what);
+/// Anything that isn't a digest, whole, is an error.
+base::result<digest> decode(std::string_view bytes);
+
+}  // namespace caraway::routing
--- /dev/null
+++ b/src/libcaraway/routing/load_board.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "libcaraway/base/clock.hpp"
+#include "libcaraway/base/ids.hpp"
+
+#include <cstdint>
+#include <map>
+
+namespace caraway::routing
+{
+
+/// What one upstream holds.
+struct upstream_load
+{
+    /// Requests sent and not ended.
+    std::uint32_t running = 0;
+    /// Prompt tokens of requests that have shown no first event, as far as no cache is believed to
+    /// hold them.
+    std::uint64_t unread_tokens = 0;
+    /// Prompt and expected output of all that run.
+    std::uint64_t held_tokens = 0;
+
+    upstream_load& operator+=(const upstream_load& other);
+    upstream_load& operator-=(const upstream_load& other);
+    friend bool operator==(const upstream_load&, const upstream_load&) = default;
+};
+
+using upstream_loads = std::map<base::upstream_id, upstream_load>;
+
+struct load_options
+{
+    /// How long a silent router's share is believed: the upstreams drop a dead router's requests
+    /// when its connections end, and a cut one's run on for a while.
+    std::chrono::milliseconds peer_lifetime{1500};
+};
+
+/// What each upstream holds of the whole fleet: this router's own requests exactly, the other
+/// routers' by their latest digests. The upstreams' own reports aren't asked: they are older than
+/// the digests, and each question costs.
+class load_board
+{
+public:
+    explicit load_board(load_options options = {});
+
+    void begin(const base::upstream_id& id, const upstream_load& of);
+    /// Its first event came: its prompt is read.
+    void prompt_read(const base::upstream_id& id, std::uint64_t unread_tokens);
+    void end(const base::upstream_id& id, const upstream_load& of);
+
+    void set_peer(const base::node_id& peer, upstream_loads loads, base::time_point now);
+    void drop_old_peers(base::time_point now);
+
+    const upstream_loads& own() const
+    {
+        return own_;
+    }
+    upstream_load total(const base::upstream_id& id) const;
+    std::uint32_t own_running(const base::upstream_id& id) const;
+
+private:
+    struct peer_loads
+    {
+        upstream_loads loads;
+        base::time_point heard{};
+    };
+
+    load_options options_;
+    upstream_loads own_;
+    upstream_loads peers_total_;
+    std::map<base::node_id, peer_loads> peers_;
+};
+
+}  // namespace caraway::routing
--- /dev/null
+++ b/src/libcaraway/routing/peer_table.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "libcaraway/routing/digest.hpp"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace caraway::routing
+{
+
+struct peer_options
+{
+    /// A peer that was silent for so long isn't given to callers: six digests.
+    std::chrono::milliseconds silent{650};
+    /// A silent peer still gets digests, less often, so that a healed cut is noticed.
+    std::chrono::milliseconds probe_period{1000};
+    /// Peers heard within this count when a router asks itself whether it is cut off.
+    std::chrono::milliseconds recent{10000};
+    /// From then on it is forgotten; the platform's table brings it back if it lives.
+    std::chrono::milliseconds forget{60000};
+    /// Entry points given to a caller of a zone before those of other zones are added.
+    std::size_t entries_in_zone = 2;
+    /// Entry points in one answer at most.
+    std::size_t max_entries = 64;
+};
+
+/// A router that others know.
+struct peer
+{
+    base::node_id id;
+    std::uint64_t life = 0;
+    std::uint64_t number = 0;
+    base::zone_id zone;
+    endpoint callers;
+    endpoint control;
+    endpoint datagrams;
+    bool ready = false;
+    base::config_version version{};
+    bool store_reached = false;
+    /// Nothing before the first digest.
+    std::optional<base::time_point> heard;
+    base::time_point known_since{};
+    base::time_point last_sent{};
+};
+
+/// The other routers: from the platform's table and the first routers named in the settings, then
+/// from their own digests.
+class peer_table
+{
+public:
+    peer_table(base::node_id self, base::zone_id zone, peer_options options = {});
+
+    /// Told of it; nothing changes for one that is known.
+    void introduce(const peer& of, base::time_point now);
+    /// False for a digest of an earlier life, an older one, or this router's own.
+    bool heard(const digest& from, base::time_point now);
+    void forget_old(base::time_point now);
+
+    /// Peers that get a digest now: those that are heard, and at times the silent ones.
+    std::vector<endpoint> take_due(base::time_point now);
+
+    /// Where callers of that zone should connect. `self_ready`: this router is one of them.
+    /// A router that hears less than half of those it knows is likely cut off itself, so it names
+    /// all it knows: callers pass over dead ones, and would else all come here.
+    std::vector<endpoint> entries(const base::zone_id& zone, const endpoint& self, bool self_ready,
+                                  base::time_point now) const;
+
+    /// A heard peer with a newer configuration, or with a fresh copy of the platform's tables.
+    const peer* newer(base::config_version than, base::time_point now) const;
+    const peer* with_store(base::time_point now) const;
+
+    bool is_heard(const peer& of, base::time_point now) const;
+    std::size_t size() const
+    {
+        return peers_.size();
+    }
+    const std::map<base::node_id, peer>& all() const
+    {
+        return peers_;
+    }
+
+private:
+    bool seems_cut_off(base::time_point now) const;
+
+    base::node_id self_;
+    base::zone_id zone_;
+    peer_options options_;
+    std::map<base::node_id, peer> peers_;
+};
+
+}  // namespace caraway::routing
--- /dev/null
+++ b/src/libcaraway/routing/placer.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "libcaraway/routing/configuration.hpp"
+#include "libcaraway/routing/load_board.hpp"
+#include "libcaraway/routing/upstream_directory.hpp"
+#include "libcaraway/scheduling/upstream_health.hpp"
+
+#include <optional>
+#include <unordered_map>
+
+namespace caraway::routing
+{
+
+struct placement_options
+{
+    base::zone_id zone;
+    /// Prompt tokens that an engine reads in a millisecond beside a full batch. The deployments'
+    /// engines read 82 to 85 alone; a chunk of 2,048 takes 25 ms and a step of 32 requests 6 ms.
+    double read_tokens_per_ms = 65;
+    /// There and back to another zone: 1 to 3 ms on the deployments' sheets, doubled because the
+    /// bytes between zones cost too.
+    std::chrono::milliseconds other_zone{6};
+    /// By how much one more running request slows an engine's steps, over a short answer.
+    std::chrono::microseconds running_request{1500};
+    /// Work of one plain call: 15 to 30 ms on the deployments' sheets.
+    std::chrono::milliseconds plain_call{20};
+    /// Calls a plain upstream may hold for each slot: as work takes a fifth of what is on time, one
+    /// may wait behind each that runs.
+    double plain_depth = 2;
+    /// Part of an engine's memory that is given out; the rest is for outputs longer than expected,
+    /// since an engine that runs out reads its newest request again from the start.
+    double memory_share = 0.92;
+    /// How long a part that was read is believed to stay in an engine's cache.
+    std::chrono::milliseconds part_lifetime{20000};
+};
+
+/// A request that looks for an upstream.
+struct placement_request
+{
+    const service* of = nullptr;
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t output_tokens = 0;
+    const std::vector<prompt_part>* parts = nullptr;
+    /// Upstreams that this request has been sent to.
+    std::vector<base::upstream_id> tried;
+    /// The longest wait behind other prompts that is accepted at an engine.
+    std::chrono::milliseconds longest_wait{300};
+    /// Part of an engine's slots that it may use: below 1 for work that should give way.
+    double slot_share = 1;
+};
+
+struct placement
+{
+    upstream where;
+    /// What the request adds there.
+    upstream_load load;
+    /// Wait behind the prompts that are before it.
+    std::chrono::milliseconds wait{};
+};
+
+/// Chooses the upstream where a request starts soonest, as far as the load board knows: waiting
+/// prompts, its own prompt less what a cache is believed to hold, running requests, distance.
+///
+/// Shared parts of prompts have a home, by rendezvous hashing of the part over the service's
+/// upstreams, that all routers agree on without a message. The home is believed to hold the part,
+/// so requests of one session meet there as long as its queue is shorter than reading the part
+/// anew elsewhere takes; where they went otherwise is remembered.
+class placer
+{
+public:
+    explicit placer(placement_options options);
+
+    std::optional<placement> choose(const placement_request& request,
+                                    const upstream_directory& directory, const load_board& board,
+                                    const scheduling::upstream_health& health, base::time_point now);
+    /// The request went there: its shared parts will be in that cache.
+    void note_sent(const base::upstream_id& id, const std::vector<prompt_part>& parts,
+                   base::time_point now);
+    void forget(const base::upstream_id& id);
+
+private:
+    using part_times = std::unordered_map<std::uint64_t, base::time_point>;
+
+    std::uint32_t cached_tokens(const base::upstream_id& id, const std::vector<prompt_part>& parts,
+                                bool is_home, base::time_point now) const;
+    std::optional<placement> at(const upstream& where, const placement_request& request,
+                                bool is_home, const load_board& board, base::time_point now) const;
+    double cost(const upstream& where, const placement_request& request,
+                const placement& there, std::uint32_t running) const;
+
+    placement_options options_;
+    std::map<base::upstream_id, part_times> read_;
+};
+
+}  // namespace caraway::routing
--- /dev/null
+++ b/src/libcaraway/routing/row_follower.cpp
@@ -0,0 +1,41 @@
+#include "libcaraway/routing/row_follower.hpp"
+
+#include <algorithm>
+
+namespace caraway::routing
+{
+
+row_follower::row_follower(follower_options options) : options_(options) {}
+
+row_follower::call row_follower::next(base::time_point now) const
+{
+    return {.what = read_needed_ ? step::read_all : step::follow,
+            .after = revision_,
+            .hold = options_.hold,
+            .at = std::max(now, earliest_)};
+}
+
+void row_follower::answered(std::uint64_t revision, base::time_point now)
+{
+    revision_ = std::max(revision_, revision);
+    has_read_ = true;
+    read_needed_ = false;
+    failures_ = 0;
+    earliest_ = now + options_.gap;
+}
+
+void row_follower::history_gone(base::time_point now)
+{
+    read_needed_ = true;
+    earliest_ = now;
+}
+
+void row_follower::failed(base::time_point now)
+{
+    constexpr std::uint32_t largest_exponent = 4;
+    const auto pause = options_.first_pause * (1U << std::min(failures_, largest_exponent));
+    ++failures_;
+    earliest_ = now + std::min(pause, options_.longest_pause);
+}
+
+}  // namespace caraway::routing
--- /dev/null
+++ b/src/libcaraway/routing/upstream_directory.cpp
@@ -0,0 +1,110 @@
+#include "libcaraway/routing/upstream_directory.hpp"
+
+#include <set>
+
+namespace caraway::routing
+{
+
+upstream_directory::upstream_directory(directory_options options) : options_(options) {}
+
+void upstream_directory::put(const upstream& entry)
+{
+    missing_.erase(entry.id);
+    entries_[entry.id] = entry;
+}
+
+void upstream_directory::remove(const base::upstream_id& id, base::time_point now)
+{
+    if (!entries_.contains(id))
+    {
+        return;
+    }
+    if (in_grace(now) && !entries_.at(id).draining)
+    {
+        missing_[id] = true;
+        return;
+    }
+    forget(id);
+}
+
+void upstream_directory::replace(const std::vector<upstream>& all, base::time_point now)
+{
+    std::set<base::upstream_id> listed;
+    for (const auto& entry : all)
+    {
+        listed.insert(entry.id);
+        put(entry);
+    }
+    std::vector<base::upstream_id> absent;
+    for (const auto& [id, entry] : entries_)
+    {
+        if (!listed.contains(id))
+        {
+            absent.push_back(id);
+        }
+    }
+    for (const auto& id : absent)
+    {
+        remove(id, now);
+    }
+}
+
+void upstream_directory::store_lost()
+{
+    lost_ = true;
+}
+
+void upstream_directory::store_back(base::time_point now)
+{
+    if (!lost_)
+    {
+        return;
+    }
+    lost_ = false;
+    grace_until_ = now + options_.return_grace;
+}
+
+void upstream_directory::expire(base::time_point now)
+{
+    if (missing_.empty() || in_grace(now))
+    {
+        return;
+    }
+    for (const auto& [id, unused] : missing_)
+    {
+        entries_.erase(id);
+    }
+    missing_.clear();
+}
+
+void upstream_directory::forget(const base::upstream_id& id)
+{
+    entries_.erase(id);
+    missing_.erase(id);
+}
+
+std::vector<const upstream*> upstream_directory::usable(const base::service_id& service) const
+{
+    std::vector<const upstream*> found;
+    for (const auto& [id, entry] : entries_)
+    {
+        if (entry.service == service && !entry.draining)
+        {
+            found.push_back(&entry);
+        }
+    }
+    return found;
+}
+
+const upstream* upstream_directory::find(const base::upstream_id& id) const
+{
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? nullptr : &found->second;
+}
+
+bool upstream_directory::in_grace(base::time_point now) const
+{
+    return lost_ || now < grace_until_;
+}
+
+}  // namespace caraway::routing
--- /dev/null
+++ b/src/libcaraway/routing/upstream_directory.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "libcaraway/base/clock.hpp"
+#include "libcaraway/base/ids.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace caraway::routing
+{
+
+/// Where an upstream is reached.
+struct endpoint
+{
+    std::string ip;
+    std::uint16_t port = 0;
+
+    friend bool operator==(const endpoint&, const endpoint&) = default;
+};
+
+/// One life of an upstream, as the platform lists it.
+struct upstream
+{
+    base::upstream_id id;
+    base::service_id service;
+    endpoint address;
+    base::zone_id zone;
+    std::uint32_t slots = 1;
+    /// Takes no new requests; ends soon.
+    bool draining = false;
+};
+
+struct directory_options
+{
+    /// Entries that lapsed while the platform's store was away are back within two seconds of its
+    /// return if the upstream lives (the platform's contract); a little more for the way.
+    std::chrono::milliseconds return_grace{2300};
+};
+
+/// The upstreams that may get requests. An entry that disappears normally means that its upstream
+/// leaves, and it gets nothing more. Around an outage of the store it means nothing yet: entries
+/// lapse because the upstreams couldn't refresh them, and a router that believed it would have no
+/// upstreams left. So removals seen during an outage or within `return_grace` of its end wait until
+/// that time is over.
+class upstream_directory
+{
+public:
+    explicit upstream_directory(directory_options options = {});
+
+    void put(const upstream& entry);
+    void remove(const base::upstream_id& id, base::time_point now);
+    /// The whole listing; what it lacks is removed.
+    void replace(const std::vector<upstream>& all, base::time_point now);
+
+    void store_lost();
+    void store_back(base::time_point now);
+    /// Drops what is still missing when the grace is over.
+    void expire(base::time_point now);
+    /// It refused as another instance: whatever the listing says, it is gone for good.
+    void forget(const base::upstream_id& id);
+
+    /// Upstreams of the service that aren't draining.
+    std::vector<const upstream*> usable(const base::service_id& service) const;
+    const upstream* find(const base::upstream_id& id) const;
+    std::size_t size() const
+    {
+        return entries_.size();
+    }
+    /// All entries, for the dump and for peers that can't reach the store.
+    const std::map<base::upstream_id, upstream>& all() const
+    {
+        return entries_;
+    }
+
+private:
+    bool in_grace(base::time_point now) const;
+
+    directory_options options_;
+    std::map<base::upstream_id, upstream> entries_;
+    /// Listed no more, but not yet believed.
+    std::map<base::upstream_id, bool> missing_;
+    bool lost_ = false;
+    base::time_point grace_until_{};
+};
+
+}  // namespace caraway::routing
--- /dev/null
+++ b/src/libcaraway/routing/waiting_line.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "libcaraway/base/clock.hpp"
+#include "libcaraway/base/ids.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace caraway::routing
+{
+
+/// A request that waits for a place.
+struct waiting_request
+{
+    base::workspace_id workspace;
+    base::service_id service;
+    /// 0 is the most urgent.
+    std::int32_t priority = 0;
+    base::time_point arrived{};
+    /// When it is given up.
+    base::time_point until{};
+};
+
+enum class ticket : std::uint64_t
+{
+};
+
+/// Requests that found no place at once. Served by the workspace that has had the least of what it
+/// is due, then by urgency, then by arrival: so a flooding workspace's requests wait behind
+/// everyone else's, and within a workspace nothing is overtaken by what is no more urgent.
+class waiting_line
+{
+public:
+    /// How full a workspace's share is; see workspace_shares::fill.
+    using fill_of = std::function<double(const base::workspace_id&)>;
+
+    ticket add(const waiting_request& request);
+    void remove(ticket id);
+
+    /// All that wait, in the order in which they should get places.
+    std::vector<ticket> order(const fill_of& fill) const;
+    /// Takes out those whose time is over.
+    std::vector<ticket> take_expired(base::time_point now);
+
+    std::size_t size() const
+    {
+        return waiting_.size();
+    }
+    std::size_t size(const base::service_id& service) const;
+
+private:
+    std::map<ticket, waiting_request> waiting_;
+    std::uint64_t last_ = 0;
+};
+
+}  // namespace caraway::routing
--- /dev/null
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -0,0 +1,158 @@
+#include "libcaraway/routing/workspace_shares.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace caraway::routing
+{
+
+namespace
+{
+
+/// The most that each may get so that all together get no more than `capacity`.
+double max_min_level(std::vector<double> demands, double capacity)
+{
+    std::sort(demands.begin(), demands.end());
+    double left = capacity;
+    std::size_t sharers = demands.size();
+    for (const double demand : demands)
+    {
+        const double even = left / static_cast<double>(sharers);
+        if (demand >= even)
+        {
+            return even;
+        }
+        left -= demand;
+        --sharers;
+    }
+    return std::numeric_limits<double>::infinity();
+}
+
+}  // namespace
+
+workspace_shares::workspace_shares(share_options options) : options_(options) {}
+
+void workspace_shares::set_capacity(double tokens_per_second)
+{
+    capacity_ = tokens_per_second;
+}
+
+void workspace_shares::set_window(std::chrono::milliseconds window)
+{
+    if (window == options_.window)
+    {
+        return;
+    }
+    options_.window = window;
+    own_.clear();
+}
+
+void workspace_shares::count_asked(const base::workspace_id& id, double tokens,
+                                   base::time_point now)
+{
+    current(id, now).asked += tokens;
+    total_[id].asked += tokens;
+}
+
+void workspace_shares::count_served(const base::workspace_id& id, double tokens,
+                                    base::time_point now)
+{
+    current(id, now).served += tokens;
+    total_[id].served += tokens;
+}
+
+void workspace_shares::set_peer(const base::node_id& peer, workspace_usages usages,
+                                base::time_point now)
+{
+    peers_[peer] = {.usages = std::move(usages), .heard = now};
+}
+
+workspace_usages workspace_shares::own(base::time_point now)
+{
+    workspace_usages out;
+    for (auto each = own_.begin(); each != own_.end();)
+    {
+        const auto usage = sum(each->second, now);
+        if (usage.asked == 0 && usage.served == 0)
+        {
+            each = own_.erase(each);
+            continue;
+        }
+        out[each->first] = usage;
+        ++each;
+    }
+    return out;
+}
+
+double workspace_shares::fill(const base::workspace_id& id, base::time_point now)
+{
+    if (capacity_ <= 0)
+    {
+        return 0;
+    }
+    if (now >= allocated_ + options_.refresh)
+    {
+        allocate(now);
+    }
+    return total_[id].served / even_share_;
+}
+
+std::int64_t workspace_shares::part_number(base::time_point now) const
+{
+    return now.time_since_epoch() / (options_.window / parts);
+}
+
+workspace_usage& workspace_shares::current(const base::workspace_id& id, base::time_point now)
+{
+    auto& of = own_[id];
+    const auto number = part_number(now);
+    slide(of, number);
+    return of.part[static_cast<std::size_t>(number) % parts];
+}
+
+workspace_usage workspace_shares::sum(sliding& of, base::time_point now) const
+{
+    slide(of, part_number(now));
+    workspace_usage all;
+    for (const auto& part : of.part)
+    {
+        all.asked += part.asked;
+        all.served += part.served;
+    }
+    return all;
+}
+
+void workspace_shares::slide(sliding& of, std::int64_t to) const
+{
+    const auto stale = std::min<std::int64_t>(to - of.newest, parts);
+    for (std::int64_t step = 0; step < stale; ++step)
+    {
+        of.part[static_cast<std::size_t>(to - step) % parts] = {};
+    }
+    of.newest = std::max(of.newest, to);
+}
+
+void workspace_shares::allocate(base::time_point now)
+{
+    allocated_ = now;
+    total_ = own(now);
+    std::erase_if(peers_, [&](const auto& each)
+                  { return each.second.heard + options_.peer_lifetime <= now; });
+    for (const auto& [peer, known] : peers_)
+    {
+        for (const auto& [id, usage] : known.usages)
+        {
+            total_[id].asked += usage.asked;
+            total_[id].served += usage.served;
+        }
+    }
+    std::vector<double> demands;
+    for (const auto& [id, usage] : total_)
+    {
+        demands.push_back(usage.asked);
+    }
+    const double seconds = std::chrono::duration<double>(options_.window).count();
+    even_share_ = max_min_level(std::move(demands), capacity_ * seconds);
+}
+
+}  // namespace caraway::routing
--- /dev/null
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "libcaraway/base/clock.hpp"
+#include "libcaraway/base/ids.hpp"
+
+#include <array>
+#include <map>
+#include <vector>
+
+namespace caraway::routing
+{
+
+/// Tokens of one workspace over the window.
+struct workspace_usage
+{
+    double asked = 0;
+    double served = 0;
+};
+
+using workspace_usages = std::map<base::workspace_id, workspace_usage>;
+
+struct share_options
+{
+    /// The time over which shares are kept.
+    std::chrono::milliseconds window{4000};
+    /// How long a silent router's counts are believed.
+    std::chrono::milliseconds peer_lifetime{1500};
+    /// How old an allocation may be; it is a sort over the workspaces.
+    std::chrono::milliseconds refresh{100};
+};
+
+/// Divides by max-min what all engines give: a workspace that asks less than an even share gets all
+/// it asks, the others the same each. Counts own requests and, by their digests, those at the other
+/// routers.
+class workspace_shares
+{
+public:
+    explicit workspace_shares(share_options options = {});
+
+    /// Tokens a second of all engines together; 0: unknown, nobody is over its share.
+    void set_capacity(double tokens_per_second);
+    void set_window(std::chrono::milliseconds window);
+
+    /// A request came: `tokens` in the unit of the capacity.
+    void count_asked(const base::workspace_id& id, double tokens, base::time_point now);
+    /// One was sent to an engine.
+    void count_served(const base::workspace_id& id, double tokens, base::time_point now);
+
+    void set_peer(const base::node_id& peer, workspace_usages usages, base::time_point now);
+    /// This router's counts, for its digest.
+    workspace_usages own(base::time_point now);
+
+    /// What the workspace has had of what it is due in the window: 1 is all of it.
+    double fill(const base::workspace_id& id, base::time_point now);
+
+private:
+    /// Parts of the window that are dropped at a time; a count is at most an eighth too old.
+    static constexpr std::size_t parts = 8;
+
+    struct sliding
+    {
+        std::array<workspace_usage, parts> part{};
+        std::int64_t newest = 0;
+    };
+
+    std::int64_t part_number(base::time_point now) const;
+    workspace_usage& current(const base::workspace_id& id, base::time_point now);
+    workspace_usage sum(sliding& of, base::time_point now) const;
+    void slide(sliding& of, std::int64_t to) const;
+    void allocate(base::time_point now);
+
+    struct peer_usages
+    {
+        workspace_usages usages;
+        base::time_point heard{};
+    };
+
+    share_options options_;
+    double capacity_ = 0;
+    std::map<base::workspace_id, sliding> own_;
+    std::map<base::node_id, peer_usages> peers_;
+    /// Fleet-wide, as of the last allocation.
+    workspace_usages total_;
+    double even_share_ = 0;
+    base::time_point allocated_{};
+};
+
+}  // namespace caraway::routing
--- a/tests/metrics/metrics_test.cpp
+++ b/tests/metrics/metrics_test.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE metrics
 
 #include "libcaraway/metrics/registry.hpp"
+#include "libcaraway/metrics/registry_dump.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -76,7 +77,7 @@
     {
         all.counter({"c", "C."}, {{"id", std::to_string(i)}}).add();
     }
-    const QJsonObject dump = all.dump();
+    const QJsonObject dump = caraway::metrics::dump(all);
     BOOST_TEST(dump.size() == static_cast<qsizetype>(metrics::max_series + 1));
     BOOST_TEST(dump[R"(c{id="other"})"].toInteger() == static_cast<qint64>(metrics::max_series));
 }
@@ -104,7 +105,7 @@
         }
     }
     BOOST_TEST(all.counter({"c", "C."}).value() == static_cast<std::uint64_t>(threads * each));
-    const QJsonObject summary = all.dump()["h"].toObject();
+    const QJsonObject summary = caraway::metrics::dump(all)["h"].toObject();
     BOOST_TEST(summary["count"].toInteger() == threads * each);
     BOOST_TEST(summary["sum"].toDouble() == threads * each * 0.5);
 }
