--- a/src/caraway_router/main.cpp
+++ b/src/caraway_router/main.cpp
@@ -55,8 +55,10 @@
     CLI::App app("A router of the fleet, on the users' platform.");
     std::string file;
     std::uint16_t metrics_port = 0;
-    app.add_option("--settings", file, "Settings as JSON; else the platform's variable names them.");
-    app.add_option("--metrics-port", metrics_port, "Serves metrics there; 0: only at the control address.");
+    app.add_option("--settings", file,
+                   "Settings as JSON; else the platform's variable names them.");
+    app.add_option("--metrics-port", metrics_port,
+                   "Serves metrics there; 0: only at the control address.");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
 
@@ -72,6 +74,9 @@
         std::cerr << path->string() << ": " << settings.error().message << "\n";
         return 2;
     }
-    settings.value().metrics.port = metrics_port;
+    if (metrics_port != 0)
+    {
+        settings.value().metrics = {.ip = settings.value().callers.ip, .port = metrics_port};
+    }
     return run(settings.value());
 }
--- a/src/libcaraway/http/client_connection.cpp
+++ b/src/libcaraway/http/client_connection.cpp
@@ -1,5 +1,7 @@
 #include "libcaraway/http/client_connection.hpp"
 
+#include "libcaraway/http/read_scratch.hpp"
+
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/write.hpp>
@@ -16,7 +18,6 @@
 
 namespace beast_http = boost::beast::http;
 
-constexpr std::size_t read_size = 16384;
 /// Larger than any head that a caller may send, as answers may carry the request's fields back.
 constexpr std::uint32_t max_head = 65536;
 
@@ -133,8 +134,8 @@
 {
     boost::system::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
-    using user_timeout =
-        boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    socket_.non_blocking(true, ignored);
+    using user_timeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
     socket_.set_option(user_timeout(static_cast<int>(options_.silent_peer.count())), ignored);
 }
 
@@ -157,31 +158,41 @@
         return;
     }
     reading_ = true;
-    socket_.async_read_some(buffer_.prepare(read_size),
-                            [self = shared_from_this()](const auto& error, std::size_t bytes)
-                            {
-                                self->reading_ = false;
-                                if (!self->closed_)
-                                {
-                                    self->on_read(error, bytes);
-                                }
-                            });
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](const boost::system::error_code& error)
+                       {
+                           self->reading_ = false;
+                           if (!self->closed_)
+                           {
+                               self->on_readable(error);
+                           }
+                       });
 }
 
-void client_connection::on_read(const boost::system::error_code& error, std::size_t bytes)
+void client_connection::on_readable(const boost::system::error_code& error)
 {
-    if (error)
+    boost::system::error_code failed = error;
+    std::size_t bytes = 0;
+    if (!failed)
     {
-        on_end_of_stream(error);
+        bytes = socket_.read_some(boost::asio::buffer(read_scratch()), failed);
+    }
+    if (failed && failed != boost::asio::error::would_block)
+    {
+        on_end_of_stream(failed);
         return;
     }
-    buffer_.commit(bytes);
-    if (!busy_)
+    if (bytes > 0 && !busy_)
     {
         close();
         return;
     }
+    buffer_.append(read_scratch().data(), bytes);
     parse();
+    if (buffer_.empty())
+    {
+        std::string().swap(buffer_);
+    }
     read();
 }
 
@@ -190,8 +201,8 @@
     while (busy_ && buffer_.size() > 0)
     {
         boost::system::error_code error;
-        const auto used = parser_->put(buffer_.data(), error);
-        buffer_.consume(used);
+        const auto used = parser_->put(boost::asio::buffer(buffer_), error);
+        buffer_.erase(0, used);
         if (error && error != beast_http::error::need_more)
         {
             fail();
@@ -268,6 +279,10 @@
     const bool keep = parser_->keep_alive() && !parser_->need_eof() && written_;
     const auto seconds = kept_for(head);
     busy_ = false;
+    if (written_)
+    {
+        std::string().swap(request_);
+    }
     idle_since_ = timers_.now();
     kept_until_ = seconds ? std::optional(idle_since_ + *seconds) : std::nullopt;
     const auto events = std::move(events_);
--- a/src/libcaraway/http/client_connection.hpp
+++ b/src/libcaraway/http/client_connection.hpp
@@ -5,7 +5,6 @@
 #include "libcaraway/routing/upstream_directory.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -57,7 +56,8 @@
                       connect_options options = {});
     ~client_connection();
 
-    /// Connects if need be and sends. `request` is a whole message. Null `belongs` takes any answer.
+    /// Connects if need be and sends. `request` is a whole message. Null `belongs` takes any
+    /// answer.
     void call(const routing::endpoint& to, std::string request, bool head_only, call_events events,
               answer_check belongs = nullptr);
     /// Ends the call, if any, and the connection; no event follows.
@@ -87,7 +87,7 @@
     void set_socket_options();
     void write();
     void read();
-    void on_read(const boost::system::error_code& error, std::size_t bytes);
+    void on_readable(const boost::system::error_code& error);
     void parse();
     void start_parser();
     void take_head();
@@ -100,7 +100,8 @@
     timer_queue& timers_;
     connect_options options_;
     timer_queue::handle connect_deadline_;
-    boost::beast::flat_buffer buffer_;
+    /// Read and not yet parsed.
+    std::string buffer_;
     std::optional<parser_type> parser_;
     std::string request_;
     /// Shared, as an event may end the call that it belongs to.
--- a/src/libcaraway/http/event_splitter.hpp
+++ b/src/libcaraway/http/event_splitter.hpp
@@ -15,9 +15,9 @@
     std::optional<std::uint64_t> id;
 };
 
-/// Cuts the bytes of an event stream (text/event-stream, WHATWG HTML) into whole events. An upstream
-/// may break off in the middle of one; what is passed on only whole can be continued by another
-/// upstream without a gap or a repetition.
+/// Cuts the bytes of an event stream (text/event-stream, WHATWG HTML) into whole events. An
+/// upstream may break off in the middle of one; what is passed on only whole can be continued by
+/// another upstream without a gap or a repetition.
 class event_splitter
 {
 public:
--- a/src/libcaraway/http/listener.cpp
+++ b/src/libcaraway/http/listener.cpp
@@ -43,9 +43,9 @@
     }
     if (error)
     {
-        return base::make_error(base::errc::unavailable,
-                                "Can't listen at " + address.ip + ":" +
-                                    std::to_string(address.port) + ": " + error.message() + ".");
+        return base::make_error(base::errc::unavailable, "Can't listen at " + address.ip + ":" +
+                                                             std::to_string(address.port) + ": " +
+                                                             error.message() + ".");
     }
     accept();
     return base::success();
--- a/src/libcaraway/http/server_connection.cpp
+++ b/src/libcaraway/http/server_connection.cpp
@@ -1,5 +1,7 @@
 #include "libcaraway/http/server_connection.hpp"
 
+#include "libcaraway/http/read_scratch.hpp"
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -16,8 +18,6 @@
 
 namespace beast_http = boost::beast::http;
 
-/// Bytes read at a time.
-constexpr std::size_t read_size = 16384;
 /// Bytes of later requests that are read while one is answered; reading goes on only to notice
 /// that the caller leaves.
 constexpr std::size_t max_read_ahead = 65536;
@@ -86,6 +86,7 @@
 {
     boost::system::error_code ignored;
     socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
     begin_request();
     read();
 }
@@ -116,29 +117,32 @@
         return;
     }
     reading_ = true;
-    socket_.async_read_some(buffer_.prepare(read_size),
-                            [self = shared_from_this()](const auto& error, std::size_t bytes)
-                            { self->on_read(error, bytes); });
+    socket_.async_wait(socket_type::wait_read, [self = shared_from_this()](const auto& error)
+                       { self->on_readable(error); });
 }
 
-void server_connection::on_read(const boost::system::error_code& error, std::size_t bytes)
+void server_connection::on_readable(const boost::system::error_code& error)
 {
     reading_ = false;
     if (closed_)
     {
         return;
     }
-    if (error)
+    boost::system::error_code failed = error;
+    std::size_t bytes = 0;
+    if (!failed)
+    {
+        bytes = socket_.read_some(boost::asio::buffer(read_scratch()), failed);
+    }
+    if (failed && failed != boost::asio::error::would_block)
     {
         on_peer_closed();
         return;
     }
-    if (ending_)
+    if (!ending_)
     {
-        read();
-        return;
+        buffer_.append(read_scratch().data(), bytes);
     }
-    buffer_.commit(bytes);
     if (!current_)
     {
         parse();
@@ -147,6 +151,16 @@
 }
 
 void server_connection::parse()
+{
+    parse_buffer();
+    if (buffer_.empty())
+    {
+        // An idle connection holds no memory for what it once read.
+        std::string().swap(buffer_);
+    }
+}
+
+void server_connection::parse_buffer()
 {
     while (buffer_.size() > 0 && !current_ && !ending_ && !closed_)
     {
@@ -156,8 +170,8 @@
             set_deadline(limits_.header_timeout);
         }
         boost::system::error_code error;
-        const auto used = parser_->put(buffer_.data(), error);
-        buffer_.consume(used);
+        const auto used = parser_->put(boost::asio::buffer(buffer_), error);
+        buffer_.erase(0, used);
         if (error == beast_http::error::need_more)
         {
             if (used == 0)
--- a/src/libcaraway/http/server_connection.hpp
+++ b/src/libcaraway/http/server_connection.hpp
@@ -4,7 +4,6 @@
 #include "libcaraway/http/timer_queue.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -106,8 +105,9 @@
 
     void begin_request();
     void read();
-    void on_read(const boost::system::error_code& error, std::size_t bytes);
+    void on_readable(const boost::system::error_code& error);
     void parse();
+    void parse_buffer();
     void on_head();
     void on_whole();
     void reject(status code);
@@ -127,7 +127,8 @@
     limits_source limits_source_;
     server_limits limits_;
     handler on_request_;
-    boost::beast::flat_buffer buffer_;
+    /// Read and not yet parsed.
+    std::string buffer_;
     std::optional<parser_type> parser_;
     std::optional<request_head> head_;
     std::shared_ptr<exchange> current_;
--- a/src/libcaraway/http/timer_queue.hpp
+++ b/src/libcaraway/http/timer_queue.hpp
@@ -7,7 +7,6 @@
 
 #include <functional>
 #include <map>
-#include <map>
 
 namespace caraway::http
 {
--- a/src/libcaraway/http/upstream_pool.hpp
+++ b/src/libcaraway/http/upstream_pool.hpp
@@ -10,8 +10,8 @@
 
 struct pool_options
 {
-    /// Idle connections kept to one upstream; more are closed, as all routers share what an upstream
-    /// accepts.
+    /// Idle connections kept to one upstream; more are closed, as all routers share what an
+    /// upstream accepts.
     std::size_t max_idle = 8;
     /// How long an idle connection is kept where the upstream doesn't say.
     std::chrono::milliseconds idle_lifetime{8000};
--- a/src/libcaraway/http/whole_call.cpp
+++ b/src/libcaraway/http/whole_call.cpp
@@ -45,13 +45,13 @@
         connection_ = std::make_shared<client_connection>(loop_, timers_);
     }
     to_ = to;
-    deadline_ =
-        timers_.after(timeout,
-                      [this]
-                      {
-                          connection_->close();
-                          finish(base::make_error(base::errc::unknown_effect, "No answer in time."));
-                      });
+    deadline_ = timers_.after(
+        timeout,
+        [this]
+        {
+            connection_->close();
+            finish(base::make_error(base::errc::unknown_effect, "No answer in time."));
+        });
     connection_->call(
         to, std::move(request), false,
         {.head = [this](const response_head& head) { answer_.status = head.result_int(); },
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -70,6 +70,19 @@
     return target.substr(0, target.find('?'));
 }
 
+/// Opens it and notes the port if any would do.
+base::result<void> open_at(http::listener& of, routing::endpoint& address)
+{
+    BOOST_OUTCOME_TRY(of.open(address));
+    address.port = of.port();
+    return base::success();
+}
+
+bool serves_metrics(const settings& of)
+{
+    return !of.metrics.ip.empty();
+}
+
 void answer_json(const std::shared_ptr<http::exchange>& request, const std::string& body)
 {
     auto head = http::make_response(http::status::ok);
@@ -94,14 +107,14 @@
 base::result<void> daemon::start()
 {
     open_listeners();
-    const auto& at = core_.options;
-    BOOST_OUTCOME_TRY(callers_->open(at.callers));
-    BOOST_OUTCOME_TRY(readiness_->open(at.readiness));
-    BOOST_OUTCOME_TRY(directory_->open(at.directory));
-    BOOST_OUTCOME_TRY(control_->open(at.control));
-    if (at.metrics.port != 0)
+    auto& at = core_.options;
+    BOOST_OUTCOME_TRY(open_at(*callers_, at.callers));
+    BOOST_OUTCOME_TRY(open_at(*readiness_, at.readiness));
+    BOOST_OUTCOME_TRY(open_at(*directory_, at.directory));
+    BOOST_OUTCOME_TRY(open_at(*control_, at.control));
+    if (serves_metrics(at))
     {
-        BOOST_OUTCOME_TRY(metrics_->open(at.metrics));
+        BOOST_OUTCOME_TRY(open_at(*metrics_, at.metrics));
     }
     BOOST_OUTCOME_TRY(link_.open(at.datagrams));
     open_tables(platform_);
@@ -131,20 +144,25 @@
         }
         return out;
     };
-    const auto own_limits = [] { return http::server_limits{}; };
+    const auto own_limits = []
+    {
+        return http::server_limits{};
+    };
     const auto make = [&](auto limits_of, auto handler, std::size_t connections)
     {
         return std::make_unique<http::listener>(core_.loop, core_.timers, limits_of, handler,
                                                 connections);
     };
-    callers_ = make(limits, [this](const auto& request) { core_.handle(request); }, most);
-    readiness_ =
-        make(own_limits, [this](const auto& request) { answer_readiness(request); }, most / 8);
-    directory_ =
-        make(own_limits, [this](const auto& request) { answer_directory(request); }, most / 4);
-    control_ =
-        make(own_limits, [this](const auto& request) { answer_control(request); }, most / 8);
-    metrics_ = make(own_limits, [this](const auto& request) { answer_metrics(request); }, 8);
+    callers_ = make(
+        limits, [this](const auto& request) { core_.handle(request); }, most);
+    readiness_ = make(
+        own_limits, [this](const auto& request) { answer_readiness(request); }, most / 8);
+    directory_ = make(
+        own_limits, [this](const auto& request) { answer_directory(request); }, most / 4);
+    control_ = make(
+        own_limits, [this](const auto& request) { answer_control(request); }, most / 8);
+    metrics_ = make(
+        own_limits, [this](const auto& request) { answer_metrics(request); }, 8);
 }
 
 void daemon::open_tables(platform_port platform)
@@ -159,18 +177,26 @@
             }
         }
     };
-    configurations_ = std::make_unique<table_sync>(
-        "configuration", core_.timers, core_.log, platform.configurations,
-        routing::follower_options{},
-        table_sync::events{
-            .all = take_rows, .changed = take_rows, .lost = [] {}, .back = [] {}});
+    configurations_ =
+        std::make_unique<table_sync>("configuration", core_.timers, core_.log,
+                                     platform.configurations, routing::follower_options{},
+                                     table_sync::events{.all = take_rows,
+                                                        .changed = take_rows,
+                                                        .lost = [] {},
+                                                        .back =
+                                                            [] {
+                                                            }});
     upstreams_ = std::make_unique<table_sync>(
         "upstreams", core_.timers, core_.log, platform.upstreams,
         routing::follower_options{.gap = upstreams_gap},
         table_sync::events{.all = [this](const auto& rows) { take_upstreams(rows, true); },
                            .changed = [this](const auto& rows) { take_upstreams(rows, false); },
                            .lost = [this] { core_.directory.store_lost(); },
-                           .back = [this] { core_.directory.store_back(core_.now()); }});
+                           .back =
+                               [this]
+                           {
+                               core_.directory.store_back(core_.now());
+                           }});
     configurations_->start();
     upstreams_->start();
 }
@@ -235,9 +261,8 @@
     const auto late = now - last_tick_;
     if (last_tick_ != base::time_point{} && late > suspended_after)
     {
-        core_.log.line(
-            "stood_still",
-            {{"for_ms", std::chrono::duration_cast<milliseconds>(late).count()}});
+        core_.log.line("stood_still",
+                       {{"for_ms", std::chrono::duration_cast<milliseconds>(late).count()}});
     }
     last_tick_ = now;
 }
@@ -569,7 +594,9 @@
 {
     auto& all = core_.metrics;
     const auto set = [&](const char* name, const char* help, double value)
-    { all.gauge({.name = name, .help = help}).set(value); };
+    {
+        all.gauge({.name = name, .help = help}).set(value);
+    };
     set("caraway_waiting", "Requests that wait for a place.",
         static_cast<double>(core_.line.size()));
     set("caraway_answering", "Callers' requests under way.",
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -44,13 +44,13 @@
             .version = base::config_version{from.at("configuration_version").get<std::uint64_t>()}};
         for (const auto& each : from.at("upstreams"))
         {
-            copy.upstreams.push_back({.key = each.at(0).get<std::string>(),
-                                      .value = each.at(1).get<std::string>()});
+            copy.upstreams.push_back(
+                {.key = each.at(0).get<std::string>(), .value = each.at(1).get<std::string>()});
         }
         for (const auto& each : from.at("routers"))
         {
-            copy.routers.push_back({.ip = each.at(0).get<std::string>(),
-                                    .port = each.at(1).get<std::uint16_t>()});
+            copy.routers.push_back(
+                {.ip = each.at(0).get<std::string>(), .port = each.at(1).get<std::uint16_t>()});
         }
         return copy;
     }
@@ -67,7 +67,7 @@
 {
 }
 
-base::result<void> peer_link::open(const routing::endpoint& at)
+base::result<void> peer_link::open(routing::endpoint& at)
 {
     boost::system::error_code error;
     const auto ip = boost::asio::ip::make_address(at.ip, error);
@@ -81,6 +81,7 @@
                                                              ":" + std::to_string(at.port) + ": " +
                                                              error.message() + ".");
     }
+    at.port = socket_.local_endpoint(error).port();
     receive();
     return base::success();
 }
--- a/src/libcaraway/router/peer_link.hpp
+++ b/src/libcaraway/router/peer_link.hpp
@@ -34,7 +34,8 @@
     peer_link(core& shared, routing::peer_table& peers, digest_source make_digest,
               copy_taker take_copy);
 
-    base::result<void> open(const routing::endpoint& at);
+    /// Receives digests there; a port 0 becomes the one that it got.
+    base::result<void> open(routing::endpoint& at);
 
     /// Sends digests to whom they are due.
     void tell();
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -183,8 +183,8 @@
     }
     const auto now = core_.now();
     const auto terms = routing::admit(*route_, fill(), {});
-    const auto until = std::min((sent_ > 0 ? now : request_->arrived()) + terms.hold,
-                                deadline_ - least_time);
+    const auto until =
+        std::min((sent_ > 0 ? now : request_->arrived()) + terms.hold, deadline_ - least_time);
     const bool full = core_.line.size() >= routing::admission_options{}.longest_line;
     if (full || until <= now)
     {
@@ -264,20 +264,19 @@
     attempt_->place = std::move(place);
     attempt_->sent = now;
     attempt_->connection = core_.pool.take(id);
-    const forward_terms terms{
-        .instance = id,
-        .time_left = time_left(),
-        .workspace = workspace_ ? std::optional(workspace_->id) : std::nullopt,
-        .resume_after = begun_ ? last_event_ : std::nullopt};
+    const forward_terms terms{.instance = id,
+                              .time_left = time_left(),
+                              .workspace =
+                                  workspace_ ? std::optional(workspace_->id) : std::nullopt,
+                              .resume_after = begun_ ? last_event_ : std::nullopt};
     auto message = core_.protocol.forward(request_->head(), request_->body(), terms);
-    attempt_->connection->call(
-        attempt_->place.where.address, std::move(message),
-        request_->head().method() == http::verb::head, events_of(attempt_),
-        [this](const http::response_head& head)
-        {
-            const auto facts = core_.protocol.read_answer(head);
-            return !facts.request || *facts.request == facts_.id;
-        });
+    attempt_->connection->call(attempt_->place.where.address, std::move(message),
+                               request_->head().method() == http::verb::head, events_of(attempt_),
+                               [this](const http::response_head& head)
+                               {
+                                   const auto facts = core_.protocol.read_answer(head);
+                                   return !facts.request || *facts.request == facts_.id;
+                               });
 }
 
 http::call_events request_session::events_of(const std::shared_ptr<attempt>& of)
@@ -286,7 +285,11 @@
     return {.head = [self, of](const http::response_head& head) { self->on_head(*of, head); },
             .body = [self, of](std::string_view part) { self->on_body(*of, part); },
             .end = [self, of] { self->on_end(*of); },
-            .failed = [self, of](http::call_failure why) { self->on_failed(*of, why); }};
+            .failed =
+                [self, of](http::call_failure why)
+            {
+                self->on_failed(*of, why);
+            }};
 }
 
 void request_session::on_head(attempt& of, const http::response_head& head)
@@ -432,13 +435,12 @@
     }
     if (how != attempt_end::answered && last)
     {
-        core_.log.line("attempt",
-                       {{"request", facts_.id.str()},
-                        {"upstream", last->place.where.id.str()},
-                        {"end", routing::name(how)},
-                        {"status", last->head ? last->head->result_int() : 0},
-                        {"took_ms", milliseconds_of(core_.now() - last->sent).count()},
-                        {"next", routing::name(step)}});
+        core_.log.line("attempt", {{"request", facts_.id.str()},
+                                   {"upstream", last->place.where.id.str()},
+                                   {"end", routing::name(how)},
+                                   {"status", last->head ? last->head->result_int() : 0},
+                                   {"took_ms", milliseconds_of(core_.now() - last->sent).count()},
+                                   {"next", routing::name(step)}});
     }
     switch (step)
     {
--- a/src/libcaraway/router/settings.hpp
+++ b/src/libcaraway/router/settings.hpp
@@ -11,7 +11,7 @@
 namespace caraway::router
 {
 
-/// What a router is told at its start.
+/// What a router is told at its start. A port 0 means any that is free.
 struct settings
 {
     base::node_id name;
@@ -20,6 +20,7 @@
     routing::endpoint readiness;
     routing::endpoint control;
     routing::endpoint directory;
+    /// Without an address, metrics are served at the control address alone.
     routing::endpoint metrics;
     routing::endpoint datagrams;
     routing::endpoint store;
--- a/src/libcaraway/routing/admission.cpp
+++ b/src/libcaraway/routing/admission.cpp
@@ -29,8 +29,11 @@
                 .slot_share = 1,
                 .hold = part_of(target, options.hold)};
     }
-    return {.longest_wait = part_of(target, options.engine_wait_beyond),
-            .slot_share = options.slots_beyond,
+    // The further beyond, the less: of two that are beyond their shares the one that has had less
+    // finds more places, so that they come out alike.
+    const double part = 1 / (1 + options.beyond_slope * (fill - 1));
+    return {.longest_wait = part_of(target, options.engine_wait_beyond * part),
+            .slot_share = options.slots_beyond * part,
             .hold = part_of(target, options.hold_beyond)};
 }
 
--- a/src/libcaraway/routing/admission.hpp
+++ b/src/libcaraway/routing/admission.hpp
@@ -13,11 +13,13 @@
     /// And the part that it may wait at the router for a place.
     double hold = 0.5;
     /// The same for a request beyond its workspace's share: it takes what would idle.
-    double engine_wait_beyond = 0.25;
+    double engine_wait_beyond = 0.5;
     double hold_beyond = 0.12;
     /// Part of an engine's slots open to requests beyond their share; the rest is kept so that
     /// those within it find a place at once.
-    double slots_beyond = 0.8;
+    double slots_beyond = 0.9;
+    /// How fast both shrink with what a workspace has had beyond its share.
+    double beyond_slope = 3;
     /// Requests that may wait at a router for each that fits an upstream's slots.
     std::size_t longest_line = 200;
 };
--- a/src/libcaraway/routing/attempt_policy.cpp
+++ b/src/libcaraway/routing/attempt_policy.cpp
@@ -13,8 +13,7 @@
 next_step after_no_run(attempt_end end, const attempt_state& state)
 {
     const bool unsent = end == attempt_end::unreachable;
-    const bool allowed =
-        unsent ? state.unreachable < max_unreachable : state.sent < state.max_sent;
+    const bool allowed = unsent ? state.unreachable < max_unreachable : state.sent < state.max_sent;
     if (state.time_left && allowed)
     {
         return state.partly_delivered ? next_step::resume : next_step::try_again;
--- a/src/libcaraway/routing/digest.cpp
+++ b/src/libcaraway/routing/digest.cpp
@@ -89,11 +89,11 @@
 
 std::string encode(const digest& what)
 {
-    const auto all = json::array(
-        {format, what.from.str(), what.life, what.number, what.zone.str(),
-         endpoint_json(what.callers), endpoint_json(what.control), endpoint_json(what.datagrams),
-         what.ready, static_cast<std::uint64_t>(what.version), what.store_reached,
-         loads_json(what.loads), usages_json(what.usages)});
+    const auto all = json::array({format, what.from.str(), what.life, what.number, what.zone.str(),
+                                  endpoint_json(what.callers), endpoint_json(what.control),
+                                  endpoint_json(what.datagrams), what.ready,
+                                  static_cast<std::uint64_t>(what.version), what.store_reached,
+                                  loads_json(what.loads), usages_json(what.usages)});
     std::string out;
     json::to_cbor(all, out);
     return out;
--- a/src/libcaraway/routing/peer_table.cpp
+++ b/src/libcaraway/routing/peer_table.cpp
@@ -40,8 +40,8 @@
         return false;
     }
     auto& known = peers_[from.from];
-    const bool old = from.life < known.life ||
-                     (from.life == known.life && from.number <= known.number);
+    const bool old =
+        from.life < known.life || (from.life == known.life && from.number <= known.number);
     if (old)
     {
         return false;
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -31,28 +31,58 @@
     return chain;
 }
 
-/// The upstream that all routers take for the home of the deepest shared part.
-const upstream* home_of(const std::vector<const upstream*>& candidates,
-                        const std::vector<prompt_part>* parts)
+/// What of a request is the same at all upstreams.
+struct prompt_chain
 {
+    /// Each shared part with all before it.
+    std::vector<std::uint64_t> shared;
+    /// Hashes of the candidates' ids.
+    std::vector<std::uint64_t> candidates;
+};
+
+prompt_chain chain_for(const std::vector<const upstream*>& candidates,
+                       const std::vector<prompt_part>* parts)
+{
+    prompt_chain chain;
     if (parts == nullptr || parts->size() < 2)
     {
-        return nullptr;
+        return chain;
     }
-    const auto chain = chain_of(*parts);
-    const auto deepest = chain[chain.size() - 2];
-    const upstream* best = nullptr;
-    std::uint64_t highest = 0;
+    chain.shared = chain_of(*parts);
+    chain.shared.pop_back();
     for (const auto* each : candidates)
     {
-        const auto weight = combine(deepest, stable_hash(each->id.str()));
-        if (best == nullptr || weight > highest)
+        chain.candidates.push_back(stable_hash(each->id.str()));
+    }
+    return chain;
+}
+
+/// How many shared parts, from the first, the candidate is the home of, by each part's own home.
+std::size_t home_depth(const prompt_chain& chain, std::size_t candidate)
+{
+    std::size_t depth = 0;
+    for (std::size_t part = 0; part < chain.shared.size(); ++part)
+    {
+        const auto mine = combine(chain.shared[part], chain.candidates[candidate]);
+        const bool home = std::none_of(chain.candidates.begin(), chain.candidates.end(),
+                                       [&](std::uint64_t other)
+                                       { return combine(chain.shared[part], other) > mine; });
+        depth = home ? part + 1 : depth;
+    }
+    return depth;
+}
+
+std::uint32_t shared_tokens(const placement_request& request)
+{
+    std::uint32_t tokens = 0;
+    if (request.parts != nullptr && !request.parts->empty())
+    {
+        for (std::size_t part = 0; part + 1 < request.parts->size(); ++part)
         {
-            best = each;
-            highest = weight;
+            tokens += (*request.parts)[part].tokens;
         }
     }
-    return best;
+    return tokens;
 }
 
 }  // namespace
@@ -66,23 +96,27 @@
                                         base::time_point now)
 {
     const auto candidates = directory.usable(request.of->id);
-    const auto* home = home_of(candidates, request.parts);
+    const auto chain = chain_for(candidates, request.of->engine ? request.parts : nullptr);
     std::optional<placement> best;
     double lowest = std::numeric_limits<double>::infinity();
-    for (const auto* each : candidates)
+    for (std::size_t index = 0; index < candidates.size(); ++index)
     {
-        const bool tried = std::find(request.tried.begin(), request.tried.end(), each->id) !=
-                           request.tried.end();
+        const auto* each = candidates[index];
+        const bool tried =
+            std::find(request.tried.begin(), request.tried.end(), each->id) != request.tried.end();
         if (tried || !health.usable(each->id, board.own_running(each->id), now))
         {
             continue;
         }
-        auto there = at(*each, request, each == home, board, now);
+        const auto cached = cached_tokens(each->id, request, chain.shared,
+                                          chain.shared.empty() ? 0 : home_depth(chain, index), now);
+        auto there = at(*each, request, cached, board);
         if (!there)
         {
             continue;
         }
-        const double costs = cost(*each, request, *there, board.total(each->id).running);
+        const double costs = cost(*each, request, *there, shared_tokens(request) - cached,
+                                  board.total(each->id).running);
         if (costs < lowest)
         {
             lowest = costs;
@@ -113,33 +147,30 @@
     read_.erase(id);
 }
 
-std::uint32_t placer::cached_tokens(const base::upstream_id& id,
-                                    const std::vector<prompt_part>& parts, bool is_home,
+std::uint32_t placer::cached_tokens(const base::upstream_id& id, const placement_request& request,
+                                    const std::vector<std::uint64_t>& chain, std::size_t home_depth,
                                     base::time_point now) const
 {
     const auto found = read_.find(id);
-    const auto chain = chain_of(parts);
-    std::uint32_t tokens = 0;
-    for (std::size_t depth = 0; depth + 1 < chain.size(); ++depth)
+    std::size_t depth = home_depth;
+    for (std::size_t part = home_depth; found != read_.end() && part < chain.size(); ++part)
     {
-        bool held = is_home;
-        if (!held && found != read_.end())
+        const auto known = found->second.find(chain[part]);
+        if (known != found->second.end() && known->second + options_.part_lifetime > now)
         {
-            const auto part = found->second.find(chain[depth]);
-            held = part != found->second.end() && part->second + options_.part_lifetime > now;
+            depth = part + 1;
         }
-        if (!held)
-        {
-            break;
-        }
-        tokens += parts[depth].tokens;
+    }
+    std::uint32_t tokens = 0;
+    for (std::size_t part = 0; part < depth; ++part)
+    {
+        tokens += (*request.parts)[part].tokens;
     }
     return tokens;
 }
 
 std::optional<placement> placer::at(const upstream& where, const placement_request& request,
-                                    bool is_home, const load_board& board,
-                                    base::time_point now) const
+                                    std::uint32_t cached, const load_board& board) const
 {
     const auto total = board.total(where.id);
     if (!request.of->engine)
@@ -154,8 +185,8 @@
     const auto& engine = *request.of->engine;
     const auto places = std::max(1.0, std::floor(request.slot_share * engine.slots));
     const std::uint64_t needed = std::uint64_t{request.prompt_tokens} + request.output_tokens;
-    const auto memory = static_cast<std::uint64_t>(options_.memory_share *
-                                                   static_cast<double>(engine.kv_tokens));
+    const auto memory =
+        static_cast<std::uint64_t>(options_.memory_share * static_cast<double>(engine.kv_tokens));
     const bool idle = total.running == 0;
     if (total.running >= places || (!idle && total.held_tokens + needed > memory))
     {
@@ -167,16 +198,14 @@
     {
         return std::nullopt;
     }
-    const auto cached =
-        request.parts ? cached_tokens(where.id, *request.parts, is_home, now) : 0;
     const auto unread = request.prompt_tokens - std::min(cached, request.prompt_tokens);
     return placement{.where = where,
                      .load = {.running = 1, .unread_tokens = unread, .held_tokens = needed},
                      .wait = wait};
 }
 
-double placer::cost(const upstream& where, const placement_request& request,
-                    const placement& there, std::uint32_t running) const
+double placer::cost(const upstream& where, const placement_request& request, const placement& there,
+                    std::uint32_t read_again, std::uint32_t running) const
 {
     const double distance =
         where.zone == options_.zone ? 0 : static_cast<double>(options_.other_zone.count());
@@ -189,7 +218,8 @@
         static_cast<double>(there.load.unread_tokens) / options_.read_tokens_per_ms;
     const double slowing =
         std::chrono::duration<double, std::milli>(options_.running_request).count() * running;
-    return distance + static_cast<double>(there.wait.count()) + reading + slowing;
+    const double repeating = options_.repeat_weight * read_again / options_.read_tokens_per_ms;
+    return distance + static_cast<double>(there.wait.count()) + reading + repeating + slowing;
 }
 
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/placer.hpp
+++ b/src/libcaraway/routing/placer.hpp
@@ -30,6 +30,9 @@
     /// Part of an engine's memory that is given out; the rest is for outputs longer than expected,
     /// since an engine that runs out reads its newest request again from the start.
     double memory_share = 0.92;
+    /// Reading a shared part anew takes its engine's time from all who wait there, and a place in
+    /// its memory from another part: it weighs so many times the reading itself.
+    double repeat_weight = 3;
     /// How long a part that was read is believed to stay in an engine's cache.
     std::chrono::milliseconds part_lifetime{20000};
 };
@@ -72,7 +75,8 @@
 
     std::optional<placement> choose(const placement_request& request,
                                     const upstream_directory& directory, const load_board& board,
-                                    const scheduling::upstream_health& health, base::time_point now);
+                                    const scheduling::upstream_health& health,
+                                    base::time_point now);
     /// The request went there: its shared parts will be in that cache.
     void note_sent(const base::upstream_id& id, const std::vector<prompt_part>& parts,
                    base::time_point now);
@@ -81,12 +85,13 @@
 private:
     using part_times = std::unordered_map<std::uint64_t, base::time_point>;
 
-    std::uint32_t cached_tokens(const base::upstream_id& id, const std::vector<prompt_part>& parts,
-                                bool is_home, base::time_point now) const;
+    std::uint32_t cached_tokens(const base::upstream_id& id, const placement_request& request,
+                                const std::vector<std::uint64_t>& chain, std::size_t home_depth,
+                                base::time_point now) const;
     std::optional<placement> at(const upstream& where, const placement_request& request,
-                                bool is_home, const load_board& board, base::time_point now) const;
-    double cost(const upstream& where, const placement_request& request,
-                const placement& there, std::uint32_t running) const;
+                                std::uint32_t cached, const load_board& board) const;
+    double cost(const upstream& where, const placement_request& request, const placement& there,
+                std::uint32_t read_again, std::uint32_t running) const;
 
     placement_options options_;
     std::map<base::upstream_id, part_times> read_;
--- a/src/libcaraway/routing/waiting_line.cpp
+++ b/src/libcaraway/routing/waiting_line.cpp
@@ -59,9 +59,9 @@
 
 std::size_t waiting_line::size(const base::service_id& service) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(waiting_.begin(), waiting_.end(),
-                      [&](const auto& each) { return each.second.service == service; }));
+    return static_cast<std::size_t>(std::count_if(waiting_.begin(), waiting_.end(),
+                                                  [&](const auto& each)
+                                                  { return each.second.service == service; }));
 }
 
 }  // namespace caraway::routing
--- a/src/libcaraway/telemetry/line_log.hpp
+++ b/src/libcaraway/telemetry/line_log.hpp
@@ -23,8 +23,8 @@
 };
 
 /// Structured lines: one JSON object each, with `at` (wall clock, milliseconds), `event` and the
-/// fields given. Never blocks and is bounded: what is too much is dropped and counted, and the count
-/// is itself a line.
+/// fields given. Never blocks and is bounded: what is too much is dropped and counted, and the
+/// count is itself a line.
 class line_log
 {
 public:
@@ -33,8 +33,10 @@
 
     line_log(const base::clock& clock, sink out, log_options options = {});
 
-    void line(std::string_view event, nlohmann::ordered_json fields = nlohmann::ordered_json::object());
-    /// Hands what waits to the sink. Called many times a second, so that lines are written together.
+    void line(std::string_view event,
+              nlohmann::ordered_json fields = nlohmann::ordered_json::object());
+    /// Hands what waits to the sink. Called many times a second, so that lines are written
+    /// together.
     void flush();
 
     std::uint64_t written() const
--- a/src/libfleet/fleet.cpp
+++ b/src/libfleet/fleet.cpp
@@ -10,7 +10,6 @@
 #include <QFile>
 #include <QJsonArray>
 #include <QJsonDocument>
-#include <QRandomGenerator>
 #include <QThread>
 
 #include <utility>
@@ -76,7 +75,9 @@
 }  // namespace
 
 fleet::fleet(layout wanted)
-    : plan_(std::move(wanted)), network_(QRandomGenerator::global()->bounded(20, 250))
+    : plan_(std::move(wanted)),
+      network_(plan_.network == 0 ? network_reservation::take_any()
+                                  : network_reservation::take(plan_.network))
 {
     folder_.setAutoRemove(qEnvironmentVariableIsEmpty("CARAWAY_KEEP_LOGS"));
 }
@@ -102,6 +103,10 @@
 
 result<void> fleet::start_platform()
 {
+    if (!network_)
+    {
+        return network_.error();
+    }
     const QStringList arguments{"--address", QString::fromStdString(host(platform_kind, 0)),
                                 "--port", QString::number(platform_port_)};
     platform_ =
@@ -113,6 +118,10 @@
 
 result<void> fleet::start_upstreams()
 {
+    if (!network_)
+    {
+        return network_.error();
+    }
     engines_.resize(plan_.engines.size());
     engine_ports_.resize(plan_.engines.size());
     for (std::size_t i = 0; i < plan_.engines.size(); ++i)
@@ -424,9 +433,14 @@
     return folder_.filePath(QString::fromStdString(name) + ".log");
 }
 
+int fleet::network() const
+{
+    return network_ ? network_.value().number() : 0;
+}
+
 std::string fleet::host(int kind, std::size_t index) const
 {
-    return "127." + std::to_string(network_) + "." + std::to_string(kind) + "." +
+    return "127." + std::to_string(network()) + "." + std::to_string(kind) + "." +
            std::to_string(index + 1);
 }
 
--- a/src/libfleet/fleet.hpp
+++ b/src/libfleet/fleet.hpp
@@ -2,6 +2,7 @@
 
 #include "libcaraway/base/error.hpp"
 #include "libfleet/layout.hpp"
+#include "libfleet/network_reservation.hpp"
 #include "libfleet/process.hpp"
 
 #include <QJsonObject>
@@ -80,6 +81,8 @@
     caraway::base::result<QJsonObject> get_json(const address& where, const QString& path) const;
 
     QString folder() const;
+    /// The loopback network that this fleet alone uses; 0 if it got none, and then nothing starts.
+    int network() const;
 
 private:
     QString program(const char* name) const;
@@ -91,7 +94,7 @@
 
     layout plan_;
     QTemporaryDir folder_;
-    int network_ = 0;
+    caraway::base::result<network_reservation> network_;
     std::unique_ptr<process> platform_;
     std::vector<std::unique_ptr<process>> engines_;
     std::vector<std::unique_ptr<process>> services_;
--- a/src/libfleet/layout.hpp
+++ b/src/libfleet/layout.hpp
@@ -44,6 +44,8 @@
 struct layout
 {
     std::uint32_t routers = 3;
+    /// The loopback network to use, 127.<network>; 0: any that no other fleet has.
+    int network = 0;
     std::vector<std::string> zones = {"zone-a", "zone-b", "zone-c"};
     std::vector<engine_layout> engines;
     std::vector<service_layout> services;
--- /dev/null
+++ b/tests/routing/test_peers.cpp
@@ -0,0 +1,154 @@
+#include "libcaraway/routing/digest.hpp"
+#include "libcaraway/routing/peer_table.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace caraway;
+using namespace std::chrono_literals;
+using namespace caraway::routing;
+
+namespace
+{
+
+const base::time_point now(1h);
+const base::zone_id zone("z1");
+const endpoint self{.ip = "10.0.0.1", .port = 1};
+
+digest from(const std::string& name, std::uint64_t life = 1, std::uint64_t number = 1)
+{
+    return {.from = base::node_id(name),
+            .life = life,
+            .number = number,
+            .zone = zone,
+            .callers = {.ip = name, .port = 80},
+            .datagrams = {.ip = name, .port = 81},
+            .ready = true};
+}
+
+peer_table make()
+{
+    return {base::node_id("self"), zone};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(peer_tables)
+
+BOOST_AUTO_TEST_CASE(callers_are_told_of_routers_that_are_heard_and_ready)
+{
+    auto peers = make();
+    auto stopping = from("c");
+    stopping.ready = false;
+    peers.heard(from("b"), now);
+    peers.heard(stopping, now);
+
+    const auto entries = peers.entries(zone, self, true, now);
+
+    BOOST_TEST((entries == std::vector<endpoint>{self, {.ip = "b", .port = 80}}));
+}
+
+BOOST_AUTO_TEST_CASE(a_router_that_stops_names_only_the_others)
+{
+    auto peers = make();
+    peers.heard(from("b"), now);
+
+    BOOST_TEST(
+        (peers.entries(zone, self, false, now) == std::vector<endpoint>{{.ip = "b", .port = 80}}));
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_router_is_left_out)
+{
+    auto peers = make();
+    peers.heard(from("b"), now);
+    peers.heard(from("c"), now + 500ms);
+    peers.heard(from("d"), now + 500ms);
+
+    BOOST_TEST(peers.entries(zone, self, true, now + 700ms).size() == 3);
+}
+
+// Symptom: all callers of a zone came to one router, which was cut off from the others.
+// Sequence: the router heard no other any more and named only itself.
+// Cause: it took its own cut for everybody else's death.
+BOOST_AUTO_TEST_CASE(a_router_that_hears_nobody_names_all_it_knows)
+{
+    auto peers = make();
+    for (const auto* name : {"b", "c", "d"})
+    {
+        peers.heard(from(name), now);
+    }
+
+    BOOST_TEST(peers.entries(zone, self, true, now + 2s).size() == 4);
+}
+
+// Symptom: a restarted router was given to nobody.
+// Cause: a late digest of its earlier life was taken for its newest word.
+BOOST_AUTO_TEST_CASE(digests_of_an_earlier_life_or_out_of_order_change_nothing)
+{
+    auto peers = make();
+    BOOST_TEST(peers.heard(from("b", 2, 5), now));
+    BOOST_TEST(!peers.heard(from("b", 2, 5), now));
+    BOOST_TEST(!peers.heard(from("b", 2, 4), now));
+    BOOST_TEST(!peers.heard(from("b", 1, 9), now));
+    BOOST_TEST(peers.heard(from("b", 3, 1), now));
+}
+
+BOOST_AUTO_TEST_CASE(its_own_digest_is_no_peers)
+{
+    auto peers = make();
+
+    BOOST_TEST(!peers.heard(from("self"), now));
+    BOOST_TEST(peers.size() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(silent_peers_are_still_told_now_and_then)
+{
+    auto peers = make();
+    peers.heard(from("b"), now);
+    BOOST_TEST(peers.take_due(now + 2s).size() == 1);
+    BOOST_TEST(peers.take_due(now + 2100ms).empty());
+    BOOST_TEST(peers.take_due(now + 3s).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_newer_configuration_is_asked_for_where_it_is)
+{
+    auto peers = make();
+    auto ahead = from("b");
+    ahead.version = base::config_version{8};
+    peers.heard(ahead, now);
+
+    BOOST_TEST(peers.newer(base::config_version{7}, now)->id.str() == "b");
+    BOOST_TEST(peers.newer(base::config_version{8}, now) == nullptr);
+    BOOST_TEST(peers.newer(base::config_version{7}, now + 1s) == nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(digests)
+
+BOOST_AUTO_TEST_CASE(a_digest_arrives_as_it_was_sent)
+{
+    auto sent = from("b", 123456789012345ULL, 42);
+    sent.version = base::config_version{17};
+    sent.store_reached = true;
+    sent.loads[base::upstream_id("e1")] = {
+        .running = 3, .unread_tokens = 9000, .held_tokens = 40000};
+    sent.usages[base::workspace_id("north")] = {.asked = 12000, .served = 8000};
+
+    const auto received = decode(encode(sent));
+
+    BOOST_REQUIRE(received.has_value());
+    BOOST_TEST(encode(received.value()) == encode(sent));
+    BOOST_TEST(received.value().loads == sent.loads);
+}
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_digest_are_an_error)
+{
+    const auto whole = encode(from("b"));
+    for (std::size_t size = 0; size < whole.size(); ++size)
+    {
+        BOOST_TEST(!decode(std::string_view(whole).substr(0, size)).has_value());
+    }
+    BOOST_TEST(!decode("\x83\x01\x02\x03").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/routing/test_placer.cpp
@@ -0,0 +1,174 @@
+#include "libcaraway/routing/placer.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace caraway;
+using namespace std::chrono_literals;
+using namespace caraway::routing;
+
+namespace
+{
+
+const base::time_point now(1h);
+
+struct fixture
+{
+    service engines{.id = base::service_id("engines"),
+                    .engine = engine_capacity{.slots = 32, .kv_tokens = 600000}};
+    service plain{.id = base::service_id("plain")};
+    upstream_directory directory;
+    load_board board;
+    scheduling::scheduler_options health_options;
+    scheduling::upstream_health health{health_options};
+    placer choice{{.zone = base::zone_id("z1")}};
+
+    void add(const service& of, const std::string& id, const std::string& zone = "z1")
+    {
+        directory.put({.id = base::upstream_id(id),
+                       .service = of.id,
+                       .zone = base::zone_id(zone),
+                       .slots = of.engine ? of.engine->slots : 6});
+    }
+
+    std::optional<placement> place(const placement_request& request)
+    {
+        return choice.choose(request, directory, board, health, now);
+    }
+};
+
+std::vector<prompt_part> session(const std::string& name)
+{
+    return {{.id = "system", .tokens = 500},
+            {.id = name, .tokens = 4800},
+            {.id = "own", .tokens = 6600}};
+}
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(placers, fixture)
+
+BOOST_AUTO_TEST_CASE(requests_of_one_session_meet_at_one_engine)
+{
+    for (int engine = 0; engine < 18; ++engine)
+    {
+        add(engines, "e" + std::to_string(engine));
+    }
+    const auto parts = session("s1");
+    const placement_request request{.of = &engines, .prompt_tokens = 11900, .parts = &parts};
+
+    const auto first = place(request);
+    placer other({.zone = base::zone_id("z1")});
+    const auto second = other.choose(request, directory, board, health, now);
+
+    BOOST_TEST(first->where.id == second->where.id);
+    BOOST_TEST(first->load.unread_tokens == 6600);
+}
+
+BOOST_AUTO_TEST_CASE(sessions_spread_over_the_engines)
+{
+    for (int engine = 0; engine < 6; ++engine)
+    {
+        add(engines, "e" + std::to_string(engine));
+    }
+    std::map<base::upstream_id, int> homes;
+    for (int each = 0; each < 120; ++each)
+    {
+        const auto parts = session("s" + std::to_string(each));
+        ++homes[place({.of = &engines, .prompt_tokens = 11900, .parts = &parts})->where.id];
+    }
+
+    BOOST_TEST(homes.size() == 6);
+    for (const auto& [id, count] : homes)
+    {
+        BOOST_TEST(count < 40);
+    }
+}
+
+// Symptom: a hot session's requests waited past their time at one engine while others idled.
+// Cause: a session was kept at its home at any price.
+BOOST_AUTO_TEST_CASE(a_session_leaves_a_home_whose_line_is_longer_than_reading_anew)
+{
+    add(engines, "e1");
+    add(engines, "e2");
+    const auto parts = session("s1");
+    const placement_request request{
+        .of = &engines, .prompt_tokens = 11900, .parts = &parts, .longest_wait = 2000ms};
+    const auto home = place(request)->where.id;
+
+    board.begin(home, {.running = 4, .unread_tokens = 60000});
+
+    BOOST_TEST(place(request)->where.id != home);
+}
+
+BOOST_AUTO_TEST_CASE(a_part_that_was_read_is_known_where_it_was_read)
+{
+    add(engines, "e1");
+    add(engines, "e2");
+    const auto parts = session("s1");
+    const placement_request request{.of = &engines, .prompt_tokens = 11900, .parts = &parts};
+    const auto home = place(request)->where.id;
+    const base::upstream_id other(home.str() == "e1" ? "e2" : "e1");
+
+    choice.note_sent(other, parts, now);
+    board.begin(home, {.running = 1, .unread_tokens = 6000});
+
+    BOOST_TEST(place(request)->where.id == other);
+    BOOST_TEST(place(request)->load.unread_tokens == 6600);
+}
+
+BOOST_AUTO_TEST_CASE(an_engine_whose_slots_are_taken_gets_nothing)
+{
+    add(engines, "e1");
+    board.begin(base::upstream_id("e1"), {.running = 32});
+
+    BOOST_TEST(!place({.of = &engines, .prompt_tokens = 10}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(work_beyond_its_share_leaves_some_slots_free)
+{
+    add(engines, "e1");
+    board.begin(base::upstream_id("e1"), {.running = 16});
+
+    BOOST_TEST(!place({.of = &engines, .prompt_tokens = 10, .slot_share = 0.5}).has_value());
+    BOOST_TEST(place({.of = &engines, .prompt_tokens = 10}).has_value());
+}
+
+// Symptom: the newest request of an engine was read again from its start, again and again.
+// Cause: an engine that runs out of memory puts its newest request back.
+BOOST_AUTO_TEST_CASE(an_engine_gets_no_more_than_its_memory_holds)
+{
+    add(engines, "e1");
+    board.begin(base::upstream_id("e1"), {.running = 5, .held_tokens = 545000});
+
+    BOOST_TEST(!place({.of = &engines, .prompt_tokens = 8000}).has_value());
+    BOOST_TEST(place({.of = &engines, .prompt_tokens = 4000}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_prompt_larger_than_the_accepted_wait_still_finds_an_idle_engine)
+{
+    add(engines, "e1");
+
+    BOOST_TEST(place({.of = &engines, .prompt_tokens = 60000, .longest_wait = 50ms}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(plain_calls_go_to_the_emptiest_and_rather_to_the_own_zone)
+{
+    add(plain, "near", "z1");
+    add(plain, "far", "z2");
+    BOOST_TEST(place({.of = &plain})->where.id.str() == "near");
+
+    board.begin(base::upstream_id("near"), {.running = 4});
+
+    BOOST_TEST(place({.of = &plain})->where.id.str() == "far");
+}
+
+BOOST_AUTO_TEST_CASE(no_upstream_is_tried_twice_for_one_request)
+{
+    add(plain, "a");
+
+    BOOST_TEST(!place({.of = &plain, .tried = {base::upstream_id("a")}}).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/routing/test_row_follower.cpp
@@ -0,0 +1,77 @@
+#include "libcaraway/routing/row_follower.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace caraway;
+using namespace std::chrono_literals;
+using routing::row_follower;
+
+namespace
+{
+
+const base::time_point now(1h);
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(row_followers)
+
+BOOST_AUTO_TEST_CASE(it_reads_all_then_follows)
+{
+    row_follower follower;
+    BOOST_TEST((follower.next(now).what == row_follower::step::read_all));
+
+    follower.answered(7, now);
+
+    BOOST_TEST((follower.next(now).what == row_follower::step::follow));
+    BOOST_TEST(follower.next(now).after == 7);
+}
+
+// Symptom: a router went on sending requests to an upstream that had said it was leaving.
+// Sequence: the store dropped its history; the upstream's change stood in the part that was
+// dropped. Cause: following went on from the newest revision.
+BOOST_AUTO_TEST_CASE(with_its_history_gone_the_table_is_read_whole_again)
+{
+    row_follower follower;
+    follower.answered(7, now);
+
+    follower.history_gone(now);
+
+    BOOST_TEST((follower.next(now).what == row_follower::step::read_all));
+}
+
+BOOST_AUTO_TEST_CASE(failures_are_spaced_and_the_space_is_bounded)
+{
+    row_follower follower({.first_pause = 100ms, .longest_pause = 400ms});
+    follower.answered(7, now);
+    follower.failed(now);
+    BOOST_TEST(follower.lost());
+    BOOST_TEST((follower.next(now).at == now + 100ms));
+    for (int failure = 0; failure < 50; ++failure)
+    {
+        follower.failed(now);
+    }
+    BOOST_TEST((follower.next(now).at == now + 400ms));
+
+    follower.answered(8, now);
+    BOOST_TEST(!follower.lost());
+}
+
+BOOST_AUTO_TEST_CASE(a_table_that_changes_all_the_time_is_asked_for_at_bounded_intervals)
+{
+    row_follower follower({.gap = 350ms});
+    follower.answered(7, now);
+
+    BOOST_TEST((follower.next(now).at == now + 350ms));
+}
+
+// Symptom: after a reply that was overtaken, changes were asked for from an older revision.
+BOOST_AUTO_TEST_CASE(the_revision_never_goes_back)
+{
+    row_follower follower;
+    follower.answered(9, now);
+    follower.answered(7, now);
+
+    BOOST_TEST(follower.revision() == 9);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/routing/test_upstream_directory.cpp
@@ -0,0 +1,95 @@
+#include "libcaraway/routing/upstream_directory.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace caraway;
+using namespace std::chrono_literals;
+using routing::upstream;
+using routing::upstream_directory;
+
+namespace
+{
+
+const base::service_id engines("engines");
+
+upstream make(const std::string& id, bool draining = false)
+{
+    return {.id = base::upstream_id(id), .service = engines, .draining = draining};
+}
+
+base::time_point start()
+{
+    return base::time_point(1h);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(upstream_directories)
+
+BOOST_AUTO_TEST_CASE(a_draining_upstream_gets_no_new_request)
+{
+    upstream_directory directory;
+    directory.put(make("a"));
+    directory.put(make("b", true));
+
+    BOOST_REQUIRE(directory.usable(engines).size() == 1);
+    BOOST_TEST(directory.usable(engines).front()->id.str() == "a");
+}
+
+BOOST_AUTO_TEST_CASE(a_removed_upstream_gets_no_new_request)
+{
+    upstream_directory directory;
+    directory.put(make("a"));
+
+    directory.remove(base::upstream_id("a"), start());
+
+    BOOST_TEST(directory.usable(engines).empty());
+}
+
+// Symptom: after an outage of the store every request was refused for two seconds, though all
+// upstreams lived.
+// Sequence: the store was away; the entries lapsed, as no upstream could refresh its own; the store
+// came back and its listing was empty; two seconds later the upstreams had registered anew.
+// Cause: an entry that lapsed during the outage was taken for an upstream that leaves.
+BOOST_AUTO_TEST_CASE(entries_that_lapsed_during_an_outage_are_believed_gone_only_after_the_grace)
+{
+    upstream_directory directory({.return_grace = 2300ms});
+    directory.put(make("a"));
+    directory.put(make("b"));
+    directory.store_lost();
+    directory.store_back(start());
+
+    directory.replace({}, start());
+    directory.expire(start() + 2299ms);
+    BOOST_TEST(directory.usable(engines).size() == 2);
+
+    directory.put(make("a"));
+    directory.expire(start() + 2300ms);
+    BOOST_REQUIRE(directory.usable(engines).size() == 1);
+    BOOST_TEST(directory.usable(engines).front()->id.str() == "a");
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_entry_that_disappears_in_the_grace_is_gone)
+{
+    upstream_directory directory;
+    directory.put(make("a", true));
+    directory.store_lost();
+    directory.store_back(start());
+
+    directory.remove(base::upstream_id("a"), start() + 1ms);
+
+    BOOST_TEST(directory.size() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(an_address_that_another_instance_has_is_forgotten_at_once)
+{
+    upstream_directory directory;
+    directory.put(make("a"));
+    directory.store_lost();
+
+    directory.forget(base::upstream_id("a"));
+
+    BOOST_TEST(directory.size() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/routing/test_workspace_shares.cpp
@@ -0,0 +1,99 @@
+#include "libcaraway/routing/workspace_shares.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace caraway;
+using namespace std::chrono_literals;
+using routing::workspace_shares;
+
+namespace
+{
+
+const base::workspace_id large("large");
+const base::workspace_id small("small");
+const base::workspace_id third("third");
+const base::time_point now(1h);
+
+/// 1,000 tokens a second, 4,000 in a window.
+workspace_shares make()
+{
+    workspace_shares shares({.window = 4000ms, .refresh = 0ms});
+    shares.set_capacity(1000);
+    return shares;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(workspace_share_counts)
+
+BOOST_AUTO_TEST_CASE(nobody_is_beyond_its_share_while_all_asks_fit)
+{
+    auto shares = make();
+    shares.count_asked(large, 3000, now);
+    shares.count_served(large, 3000, now);
+    shares.count_asked(small, 500, now);
+
+    BOOST_TEST(shares.fill(large, now) == 0);
+}
+
+// Symptom: small workspaces' requests were refused while a large one had most of the engines.
+// Sequence: the large workspace sent many times its usual; each router served who came first.
+// Cause: what a workspace had already had didn't count.
+BOOST_AUTO_TEST_CASE(a_flooding_workspace_is_due_what_the_others_leave)
+{
+    auto shares = make();
+    shares.count_asked(large, 20000, now);
+    shares.count_asked(small, 1000, now);
+    shares.count_served(large, 3000, now);
+    shares.count_served(small, 1000, now);
+
+    BOOST_TEST(shares.fill(large, now) == 1.0);
+    BOOST_TEST(shares.fill(small, now) < 0.5);
+}
+
+BOOST_AUTO_TEST_CASE(two_that_ask_too_much_are_due_the_same)
+{
+    auto shares = make();
+    shares.count_asked(large, 20000, now);
+    shares.count_asked(third, 5000, now);
+    shares.count_asked(small, 1000, now);
+    shares.count_served(large, 1500, now);
+    shares.count_served(third, 750, now);
+
+    BOOST_TEST(shares.fill(large, now) == 1.0);
+    BOOST_TEST(shares.fill(third, now) == 0.5);
+}
+
+BOOST_AUTO_TEST_CASE(what_other_routers_served_counts)
+{
+    auto shares = make();
+    shares.count_asked(large, 2000, now);
+    shares.set_peer(
+        base::node_id("b"),
+        {{large, {.asked = 18000, .served = 3000}}, {small, {.asked = 1000, .served = 1000}}}, now);
+
+    BOOST_TEST(shares.fill(large, now) == 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_router_is_forgotten)
+{
+    auto shares = make();
+    shares.count_asked(large, 9000, now);
+    shares.set_peer(base::node_id("b"), {{large, {.asked = 0, .served = 4000}}}, now);
+    BOOST_TEST(shares.fill(large, now) == 1.0);
+
+    BOOST_TEST(shares.fill(large, now + 1500ms) == 0.0);
+}
+
+BOOST_AUTO_TEST_CASE(the_window_moves_on)
+{
+    auto shares = make();
+    shares.count_asked(large, 9000, now);
+    shares.count_served(large, 4000, now);
+    BOOST_TEST(shares.fill(large, now + 3400ms) == 1.0);
+
+    shares.count_asked(large, 9000, now + 4100ms);
+    BOOST_TEST(shares.fill(large, now + 4100ms) == 0.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
