Tests: the whole path on the users' platform, with stand-ins of its store and runners

Found: what was written before an answer was broken off was thrown away with it (exchange::abort); it now goes out, without the end mark.

--- a/src/libcaraway/http/exchange.cpp
+++ b/src/libcaraway/http/exchange.cpp
@@ -108,7 +108,9 @@
     }
     else
     {
-        connection_->flush();
+        // What was written still goes out; without the last chunk it can't look complete.
+        connection_->answer_ended(false);
+        return;
     }
     connection_->close();
 }
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -381,6 +381,7 @@
     }
     core_.log.line("end", {{"unfinished", callers_->answering()}});
     core_.log.flush();
+    ended_ = true;
     core_.loop.stop();
 }
 
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -23,6 +23,19 @@
     /// The settings file has changed: what can change in a life is read again.
     std::function<void()> on_reload;
 
+    /// Where it listens, once started.
+    const settings& options() const
+    {
+        return core_.options;
+    }
+    /// Takes callers: it has a configuration and upstreams, and doesn't stop.
+    bool ready() const;
+    /// A planned stop has come to its end.
+    bool ended() const
+    {
+        return ended_;
+    }
+
     /// What it knows and does, for people.
     nlohmann::ordered_json state();
 
@@ -46,7 +59,6 @@
     routing::digest make_digest();
     row own_row() const;
 
-    bool ready() const;
     bool is_stopping() const
     {
         return stopping_since_.has_value();
@@ -87,6 +99,7 @@
     std::size_t seed_ = 0;
     bool own_row_written_ = false;
     bool store_busy_ = false;
+    bool ended_ = false;
 };
 
 }  // namespace caraway::router
--- a/tests/routing/test_row_follower.cpp
+++ b/tests/routing/test_row_follower.cpp
@@ -56,8 +56,9 @@
     BOOST_TEST(!follower.lost());
 }
 
-// Symptom: a router that had been cut off learnt of a leaving upstream 1.8 s after the cut had healed.
-// Sequence: the call that was under way when the cut healed was one that the store holds for 1.5 s.
+// Symptom: a router that had been cut off learnt of a leaving upstream 1.8 s after the cut had
+// healed. Sequence: the call that was under way when the cut healed was one that the store holds
+// for 1.5 s.
 BOOST_AUTO_TEST_CASE(while_the_store_is_lost_calls_are_not_held)
 {
     row_follower follower({.hold = 1500ms});
--- a/tests/routing/test_upstream_directory.cpp
+++ b/tests/routing/test_upstream_directory.cpp
@@ -93,8 +93,8 @@
 }
 
 // Symptom: a request reached an upstream 2.1 s after it had said that it leaves (2 s are allowed).
-// Sequence: a router was cut from the store for eight seconds; it came back, saw that an upstream was
-// gone, and waited for the entry to come back for the 2.3 s that it waits after an outage.
+// Sequence: a router was cut from the store for eight seconds; it came back, saw that an upstream
+// was gone, and waited for the entry to come back for the 2.3 s that it waits after an outage.
 // Cause: a router's own cut was taken for an outage of the store, in which entries lapse.
 BOOST_AUTO_TEST_CASE(what_is_missing_after_a_cut_of_this_router_alone_is_gone_at_once)
 {
--- /dev/null
+++ b/tests/users_platform/router_fixture.cpp
@@ -0,0 +1,147 @@
+#include "router_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace users_platform_tests
+{
+
+using namespace caraway;
+using nlohmann::json;
+
+namespace
+{
+
+json route_json(const route_spec& of)
+{
+    return {{"name", "route " + of.prefix},
+            {"hostname", "app.example"},
+            {"prefix", of.prefix},
+            {"route_type", of.kind},
+            {"timeout_ms", of.timeout_ms},
+            {"target_latency_ms", 500},
+            {"priority", 1},
+            {"backend", of.service},
+            {"max_attempts", of.max_attempts},
+            {"anonymous", of.anonymous},
+            {"session_affinity", of.kind == "streaming"},
+            {"stream_resume", of.resumable}};
+}
+
+json service_json(const std::string& name)
+{
+    json service{{"name", name}, {"health_check_path", "/healthz"}, {"max_connections", 100}};
+    if (name == "engines")
+    {
+        service["engine"] = {{"slots", 4}, {"kv_capacity_tokens", 100000}, {"stride", 6}};
+    }
+    return service;
+}
+
+}  // namespace
+
+router_fixture::router_fixture()
+    : log(clock,
+          [this](std::string_view bytes)
+          {
+              lines.emplace_back(bytes);
+              return bytes.size();
+          })
+{
+}
+
+router_fixture::~router_fixture() = default;
+
+void router_fixture::accept(int version, const std::vector<route_spec>& routes,
+                            const std::vector<std::string>& keys)
+{
+    json all{{"version", version},
+             {"routes", json::array()},
+             {"backends", json::array({service_json("plain"), service_json("engines")})},
+             {"limits",
+              {{"max_header_bytes", 16384},
+               {"max_body_bytes", 100000},
+               {"header_timeout_ms", 3000},
+               {"idle_timeout_ms", 15000},
+               {"tokens_per_s", 100000}}},
+             {"tenants", json::array({{{"name", "north"}, {"api_keys", keys}}})}};
+    for (const auto& each : routes)
+    {
+        all["routes"].push_back(route_json(each));
+    }
+    store.put("op", "config", all.dump());
+}
+
+void router_fixture::add(const stand_in_runner& runner, const std::string& service,
+                         const std::string& state)
+{
+    store.put("servers", runner.instance, runner.entry(service, state));
+}
+
+router::daemon& router_fixture::start_router(const std::string& name, bool wait)
+{
+    const routing::endpoint any{.ip = "127.0.0.1", .port = 0};
+    const router::settings options{.name = base::node_id(name),
+                                   .zone = base::zone_id("z1"),
+                                   .callers = any,
+                                   .readiness = any,
+                                   .control = any,
+                                   .directory = any,
+                                   .datagrams = any,
+                                   .store = store.address(),
+                                   .seeds = seeds,
+                                   .retries = {.ratio = 0.2, .slack = 50},
+                                   .grace = std::chrono::milliseconds(4000)};
+    routers.push_back(
+        std::make_unique<router::daemon>(loop, clock, options, platform::caller_protocol(),
+                                         platform::make_port(loop, timers, store.address()), log));
+    auto& started = *routers.back();
+    BOOST_REQUIRE(started.start().has_value());
+    if (wait)
+    {
+        BOOST_REQUIRE(becomes_true([&] { return started.ready(); }));
+    }
+    return started;
+}
+
+std::shared_ptr<http_tests::raw_end>
+router_fixture::ask(router::daemon& router, const std::string& target, const std::string& id,
+                    const std::string& fields, const std::string& body)
+{
+    auto end = http_tests::connect_to(loop, router.options().callers.port);
+    end->say("POST " + target + " HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: " + id + "\r\n" +
+             fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    return end;
+}
+
+bool router_fixture::answered(const std::shared_ptr<http_tests::raw_end>& end,
+                              const std::string& code)
+{
+    return becomes_true([&] { return end->heard.find("\r\n\r\n") != std::string::npos; }) &&
+           end->heard.starts_with("HTTP/1.1 " + code);
+}
+
+bool router_fixture::logged(const std::vector<std::string>& parts) const
+{
+    for (const auto& each : lines)
+    {
+        std::size_t begin = 0;
+        while (begin < each.size())
+        {
+            const auto end = std::min(each.find('\n', begin), each.size());
+            const auto line = each.substr(begin, end - begin);
+            begin = end + 1;
+            const bool all =
+                std::all_of(parts.begin(), parts.end(),
+                            [&](const auto& part) { return line.find(part) != std::string::npos; });
+            if (all)
+            {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+}  // namespace users_platform_tests
--- /dev/null
+++ b/tests/users_platform/stand_in_store.cpp
@@ -0,0 +1,231 @@
+#include "stand_in_store.hpp"
+
+#include "base64.hpp"
+
+namespace users_platform_tests
+{
+
+namespace
+{
+
+using namespace caraway;
+using nlohmann::json;
+
+std::map<std::string, std::string> query_of(const std::string& target)
+{
+    std::map<std::string, std::string> fields;
+    auto rest = target.substr(std::min(target.size(), target.find('?') + 1));
+    while (!rest.empty())
+    {
+        const auto end = std::min(rest.find('&'), rest.size());
+        const auto field = rest.substr(0, end);
+        const auto sign = std::min(field.find('='), field.size());
+        fields[field.substr(0, sign)] = field.substr(std::min(field.size(), sign + 1));
+        rest.erase(0, end + 1);
+    }
+    return fields;
+}
+
+void answer_json(const std::shared_ptr<http::exchange>& request, const json& body,
+                 unsigned code = 200)
+{
+    auto head = http::make_response(http::status::ok);
+    head.result(code);
+    head.set(http::field::content_type, "application/json");
+    request->respond(std::move(head), body.dump());
+}
+
+}  // namespace
+
+stand_in_store::stand_in_store(boost::asio::io_context& loop, http::timer_queue& timers)
+    : timers_(timers), listener_(
+                           loop, timers, [] { return http::server_limits{}; },
+                           [this](const auto& request) { answer(request); }, 100)
+{
+    if (!listener_.open({.ip = "127.0.0.1", .port = 0}))
+    {
+        std::abort();
+    }
+}
+
+routing::endpoint stand_in_store::address() const
+{
+    return {.ip = "127.0.0.1", .port = listener_.port()};
+}
+
+void stand_in_store::put(const std::string& table, const std::string& key, const std::string& value)
+{
+    tables_[table][key] = {.value = value, .version = ++version_};
+    note_change(table, key);
+}
+
+void stand_in_store::remove(const std::string& table, const std::string& key)
+{
+    tables_[table].erase(key);
+    ++version_;
+    note_change(table, key);
+}
+
+bool stand_in_store::has(const std::string& table, const std::string& key) const
+{
+    const auto found = tables_.find(table);
+    return found != tables_.end() && found->second.contains(key);
+}
+
+void stand_in_store::forget_history()
+{
+    forgotten_ = version_;
+    history_.clear();
+}
+
+void stand_in_store::note_change(const std::string& table, const std::string& key)
+{
+    history_.push_back({.version = version_, .table = table, .key = key});
+    wake();
+}
+
+void stand_in_store::answer(const std::shared_ptr<http::exchange>& request)
+{
+    const std::string target(request->head().target());
+    ++calls[target.substr(0, target.find('?'))];
+    if (silent)
+    {
+        waiters_.push_back({.request = request, .table = "none"});
+        return;
+    }
+    if (away)
+    {
+        request->respond(http::make_response(http::status::service_unavailable), {});
+        return;
+    }
+    auto fields = query_of(target);
+    if (target.starts_with("/rows-get"))
+    {
+        answer_get(request, fields["table"]);
+    }
+    else if (target.starts_with("/rows-feed"))
+    {
+        answer_feed(request, fields["table"], std::stoull(fields["after"]),
+                    std::chrono::milliseconds(std::stoi(fields["wait_ms"])));
+    }
+    else if (target.starts_with("/rows-tx"))
+    {
+        answer_transaction(request);
+    }
+    else
+    {
+        request->respond(http::make_response(http::status::not_found), {});
+    }
+}
+
+void stand_in_store::answer_get(const std::shared_ptr<http::exchange>& request,
+                                const std::string& table)
+{
+    auto rows = json::array();
+    for (const auto& [key, each] : tables_[table])
+    {
+        rows.push_back({{"table", table},
+                        {"part", ""},
+                        {"key", key},
+                        {"value", to_base64(each.value)},
+                        {"ver", each.version}});
+    }
+    answer_json(request, {{"rows", rows}, {"more_pages", false}, {"ver", version_}, {"now_ms", 1}});
+}
+
+void stand_in_store::answer_feed(const std::shared_ptr<http::exchange>& request,
+                                 const std::string& table, std::uint64_t after,
+                                 std::chrono::milliseconds hold)
+{
+    if (after < forgotten_)
+    {
+        answer_json(request, json::object(), 410);
+        return;
+    }
+    const auto rows = changes(table, after);
+    if (!rows.empty() || hold.count() == 0)
+    {
+        answer_json(request, {{"rows", rows}, {"ver", version_}, {"now_ms", 1}});
+        return;
+    }
+    waiters_.push_back({.request = request, .table = table, .after = after});
+    timers_.after(hold,
+                  [this, request]
+                  {
+                      const auto count = std::erase_if(waiters_, [&](const auto& each)
+                                                       { return each.request == request; });
+                      if (count > 0)
+                      {
+                          answer_json(request, {{"rows", json::array()}, {"ver", version_}});
+                      }
+                  });
+}
+
+void stand_in_store::answer_transaction(const std::shared_ptr<http::exchange>& request)
+{
+    const auto body = json::parse(request->body());
+    for (const auto& each : body.at("expected_revision"))
+    {
+        const auto& rows = tables_[each.at("table")];
+        const auto found = rows.find(each.at("key"));
+        const auto version = found == rows.end() ? 0 : found->second.version;
+        if (version != each.at("ver").get<std::uint64_t>())
+        {
+            answer_json(request, {{"rows", json::array()}}, 412);
+            return;
+        }
+    }
+    for (const auto& each : body.at("set_keys"))
+    {
+        put(each.at("table"), each.at("key"), from_base64(each.at("value")));
+    }
+    if (loses_answers)
+    {
+        request->abort();
+        return;
+    }
+    answer_json(request, {{"ver", version_}, {"now_ms", 1}});
+}
+
+json stand_in_store::changes(const std::string& table, std::uint64_t after) const
+{
+    auto rows = json::array();
+    for (const auto& each : history_)
+    {
+        if (each.version <= after || each.table != table)
+        {
+            continue;
+        }
+        json row{{"table", table}, {"part", ""}, {"key", each.key}, {"ver", each.version}};
+        const auto& known = tables_.at(table);
+        const auto found = known.find(each.key);
+        if (found == known.end())
+        {
+            row["removed"] = true;
+        }
+        else
+        {
+            row["value"] = to_base64(found->second.value);
+        }
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+void stand_in_store::wake()
+{
+    std::vector<waiter> waiting;
+    waiting.swap(waiters_);
+    for (auto& each : waiting)
+    {
+        const auto rows = changes(each.table, each.after);
+        if (rows.empty())
+        {
+            waiters_.push_back(std::move(each));
+            continue;
+        }
+        answer_json(each.request, {{"rows", rows}, {"ver", version_}, {"now_ms", 1}});
+    }
+}
+
+}  // namespace users_platform_tests
