Routing: second homes; beyond shares capacity goes to whoever asks, level with the backlogged

And sessions that left a full home went anywhere, so that their parts were read by third and fourth engines.

Change: a workspace is measured against the backlogged one that has had least (`ahead`), and gives way only when there is one; a session overflows to the next in its own line of homes.

--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -177,7 +177,7 @@
         return;
     }
     const auto now = core_.now();
-    const auto terms = routing::admit(*route_, fill(), {});
+    const auto terms = routing::admit(*route_, standing(), {});
     const auto until =
         std::min((sent_ > 0 ? now : request_->arrived()) + terms.hold, deadline_ - least_time);
     const bool full = core_.line.size() >= routing::admission_options{}.longest_line;
@@ -200,7 +200,7 @@
     {
         return true;
     }
-    const auto terms = routing::admit(*route_, service_->engine ? fill() : 0, {});
+    const auto terms = routing::admit(*route_, standing(), {});
     auto place = core_.placer.choose({.of = service_,
                                       .prompt_tokens = facts_.prompt_tokens,
                                       .output_tokens = expected_output(),
@@ -638,7 +638,18 @@
 
 double request_session::fill() const
 {
-    return core_.shares.fill(account_, core_.now());
+    return standing().fill;
+}
+
+routing::standing request_session::standing() const
+{
+    // Shares are of engines; plain services are far from full.
+    if (service_ == nullptr || !service_->engine)
+    {
+        return {};
+    }
+    const auto now = core_.now();
+    return {.fill = core_.shares.fill(account_, now), .ahead = core_.shares.ahead(account_, now)};
 }
 
 double request_session::tokens() const
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -66,6 +66,7 @@
     http::response_head head_for_caller(const http::response_head& from) const;
     bool is_idempotent() const;
     double fill() const;
+    routing::standing standing() const;
     double tokens() const;
     std::uint32_t expected_output() const;
     std::chrono::milliseconds time_left() const;
--- a/src/libcaraway/routing/admission.cpp
+++ b/src/libcaraway/routing/admission.cpp
@@ -20,18 +20,18 @@
 
 }  // namespace
 
-admission_terms admit(const route& by, double fill, const admission_options& options)
+admission_terms admit(const route& by, const standing& of, const admission_options& options)
 {
     const auto target = by.latency_target;
-    if (fill < 1)
+    if (of.fill < 1)
     {
         return {.longest_wait = part_of(target, options.engine_wait),
                 .slot_share = 1,
                 .hold = part_of(target, options.hold)};
     }
-    // The further beyond, the less: of two that are beyond their shares the one that has had less
-    // finds more places, so that they come out alike.
-    const double part = 1 / (1 + options.beyond_slope * (fill - 1));
+    // Capacity that nobody within its share wants is for whoever asks; of two that are beyond
+    // theirs the one that has had less finds more places, so that they come out alike.
+    const double part = 1 / (1 + options.ahead_slope * std::max(0.0, of.ahead - 1));
     return {.longest_wait = part_of(target, options.engine_wait_beyond * part),
             .slot_share = options.slots_beyond * part,
             .hold = part_of(target, options.hold_beyond)};
--- a/src/libcaraway/routing/admission.hpp
+++ b/src/libcaraway/routing/admission.hpp
@@ -13,13 +13,13 @@
     /// And the part that it may wait at the router for a place.
     double hold = 0.5;
     /// The same for a request beyond its workspace's share: it takes what would idle.
-    double engine_wait_beyond = 0.5;
+    double engine_wait_beyond = 0.4;
     double hold_beyond = 0.12;
     /// Part of an engine's slots open to requests beyond their share; the rest is kept so that
     /// those within it find a place at once.
-    double slots_beyond = 0.9;
-    /// How fast both shrink with what a workspace has had beyond its share.
-    double beyond_slope = 3;
+    double slots_beyond = 0.85;
+    /// How fast both shrink for a workspace that is ahead of a backlogged one.
+    double ahead_slope = 3;
     /// Requests that may wait at a router for each that fits an upstream's slots.
     std::size_t longest_line = 200;
 };
@@ -33,8 +33,15 @@
     milliseconds hold{};
 };
 
-/// `fill` is what the workspace has had of its share, 1 being all (workspace_shares::fill).
-admission_terms admit(const route& by, double fill, const admission_options& options = {});
+/// What a workspace has had: of its share, 1 being all (workspace_shares::fill), and against the
+/// backlogged one that has had least (workspace_shares::ahead).
+struct standing
+{
+    double fill = 0;
+    double ahead = 0;
+};
+
+admission_terms admit(const route& by, const standing& of, const admission_options& options = {});
 
 /// When a refused caller should come back: `draw` is uniform in [0, 1) and spreads those refused at
 /// one moment. A caller within its share comes back soon, while its answer can still be on time;
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -72,6 +72,19 @@
     return depth;
 }
 
+/// Whether exactly one other candidate comes before this one for the deepest shared part.
+bool is_second_home(const prompt_chain& chain, std::size_t candidate)
+{
+    if (chain.shared.empty())
+    {
+        return false;
+    }
+    const auto mine = combine(chain.shared.back(), chain.candidates[candidate]);
+    return std::count_if(chain.candidates.begin(), chain.candidates.end(),
+                         [&](std::uint64_t other)
+                         { return combine(chain.shared.back(), other) > mine; }) == 1;
+}
+
 std::uint32_t shared_tokens(const placement_request& request)
 {
     std::uint32_t tokens = 0;
@@ -115,8 +128,9 @@
         {
             continue;
         }
-        const double costs = cost(*each, request, *there, shared_tokens(request) - cached,
-                                  board.total(each->id).running);
+        const double repeated = (shared_tokens(request) - cached) *
+                                (is_second_home(chain, index) ? options_.second_home : 1.0);
+        const double costs = cost(*each, request, *there, repeated, board.total(each->id).running);
         if (costs < lowest)
         {
             lowest = costs;
@@ -205,7 +219,7 @@
 }
 
 double placer::cost(const upstream& where, const placement_request& request, const placement& there,
-                    std::uint32_t read_again, std::uint32_t running) const
+                    double read_again, std::uint32_t running) const
 {
     const double distance =
         where.zone == options_.zone ? 0 : static_cast<double>(options_.other_zone.count());
--- a/src/libcaraway/routing/placer.hpp
+++ b/src/libcaraway/routing/placer.hpp
@@ -33,6 +33,9 @@
     /// Reading a shared part anew takes its engine's time from all who wait there, and a place in
     /// its memory from another part: it weighs so many times the reading itself.
     double repeat_weight = 3;
+    /// A session that doesn't fit its home overflows to the next in line, the same for all routers,
+    /// rather than to anywhere: reading its parts anew weighs so much less there.
+    double second_home = 0.5;
     /// How long a part that was read is believed to stay in an engine's cache.
     std::chrono::milliseconds part_lifetime{20000};
 };
@@ -91,7 +94,7 @@
     std::optional<placement> at(const upstream& where, const placement_request& request,
                                 std::uint32_t cached, const load_board& board) const;
     double cost(const upstream& where, const placement_request& request, const placement& there,
-                std::uint32_t read_again, std::uint32_t running) const;
+                double read_again, std::uint32_t running) const;
 
     placement_options options_;
     std::map<base::upstream_id, part_times> read_;
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -97,6 +97,15 @@
     return total_[id].served / even_share_;
 }
 
+double workspace_shares::ahead(const base::workspace_id& id, base::time_point now)
+{
+    if (fill(id, now) < 1)
+    {
+        return 0;
+    }
+    return total_[id].served / least_backlogged_;
+}
+
 std::int64_t workspace_shares::part_number(base::time_point now) const
 {
     return now.time_since_epoch() / (options_.window / parts);
@@ -147,9 +156,14 @@
         }
     }
     std::vector<double> demands;
+    least_backlogged_ = std::numeric_limits<double>::infinity();
     for (const auto& [id, usage] : total_)
     {
         demands.push_back(usage.asked);
+        if (usage.served < options_.backlogged_below * usage.asked)
+        {
+            least_backlogged_ = std::min(least_backlogged_, std::max(usage.served, 1.0));
+        }
     }
     const double seconds = std::chrono::duration<double>(options_.window).count();
     even_share_ = max_min_level(std::move(demands), capacity_ * seconds);
--- a/src/libcaraway/routing/workspace_shares.hpp
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -27,6 +27,8 @@
     std::chrono::milliseconds peer_lifetime{1500};
     /// How old an allocation may be; it is a sort over the workspaces.
     std::chrono::milliseconds refresh{100};
+    /// A workspace is backlogged that gets less than this part of what it asks.
+    double backlogged_below = 0.92;
 };
 
 /// Divides by max-min what all engines give: a workspace that asks less than an even share gets all
@@ -52,6 +54,10 @@
 
     /// What the workspace has had of what it is due in the window: 1 is all of it.
     double fill(const base::workspace_id& id, base::time_point now);
+    /// What it has had against the backlogged workspace that has had least; 0 while nobody is
+    /// backlogged. Beyond their shares workspaces divide what is left over evenly: one that is
+    /// ahead of a backlogged one gives way to it.
+    double ahead(const base::workspace_id& id, base::time_point now);
 
 private:
     /// Parts of the window that are dropped at a time; a count is at most an eighth too old.
@@ -82,6 +88,8 @@
     /// Fleet-wide, as of the last allocation.
     workspace_usages total_;
     double even_share_ = 0;
+    /// The least that a backlogged workspace has had; infinite if none is.
+    double least_backlogged_ = 0;
     base::time_point allocated_{};
 };
 
--- a/tests/routing/test_workspace_shares.cpp
+++ b/tests/routing/test_workspace_shares.cpp
@@ -64,6 +64,28 @@
     BOOST_TEST(shares.fill(third, now) == 0.5);
 }
 
+BOOST_AUTO_TEST_CASE(who_is_ahead_is_measured_by_the_backlogged_workspace_that_had_least)
+{
+    auto shares = make();
+    shares.count_asked(large, 20000, now);
+    shares.count_asked(third, 5000, now);
+    shares.count_served(large, 4500, now);
+    BOOST_TEST(shares.ahead(third, now) == 0.0);
+    shares.count_served(third, 2250, now + 100ms);
+
+    BOOST_TEST(shares.ahead(large, now + 100ms) == 2.0);
+    BOOST_TEST(shares.ahead(third, now + 100ms) == 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(nobody_is_ahead_while_all_get_what_they_ask)
+{
+    auto shares = make();
+    shares.count_asked(large, 9000, now);
+    shares.count_served(large, 9000, now);
+
+    BOOST_TEST(shares.ahead(large, now) == 0.0);
+}
+
 BOOST_AUTO_TEST_CASE(what_other_routers_served_counts)
 {
     auto shares = make();
