Routing: work beyond its share has no shared parts read anew while somebody is backlogged

Change: while somebody is backlogged, a request beyond its share goes only where its shared parts are believed to be, or to its session's second home.

--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -214,7 +214,8 @@
                                       .parts = &facts_.parts,
                                       .tried = tried_,
                                       .longest_wait = terms.longest_wait,
-                                      .slot_share = terms.slot_share},
+                                      .slot_share = terms.slot_share,
+                                      .most_repeated = terms.most_repeated},
                                      core_.directory, core_.board, core_.health, core_.now());
     if (!place)
     {
--- a/src/libcaraway/routing/admission.hpp
+++ b/src/libcaraway/routing/admission.hpp
@@ -2,6 +2,8 @@
 
 #include "libcaraway/routing/configuration.hpp"
 
+#include <limits>
+
 namespace caraway::routing
 {
 
@@ -22,6 +24,9 @@
     /// those within it find a place at once.
     double slots_beyond = 0.95;
     double slots_contended = 0.65;
+    /// Tokens of shared parts that an engine may read anew for a request beyond its share while
+    /// somebody is backlogged: such reading takes from those within theirs.
+    std::uint32_t repeated_contended = 300;
     /// How fast both shrink for a workspace that is ahead of a backlogged one.
     double ahead_slope = 3;
     /// Requests that may wait at a router for each that fits an upstream's slots.
@@ -33,6 +38,8 @@
 {
     milliseconds longest_wait{};
     double slot_share = 1;
+    /// Tokens of shared prompt parts that may be read anew for it.
+    std::uint32_t most_repeated = std::numeric_limits<std::uint32_t>::max();
     /// How long it may wait at the router; then it is refused.
     milliseconds hold{};
 };
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -123,6 +123,11 @@
         }
         const auto cached = cached_tokens(each->id, request, chain.shared,
                                           chain.shared.empty() ? 0 : home_depth(chain, index), now);
+        if (shared_tokens(request) - cached > request.most_repeated &&
+            !is_second_home(chain, index))
+        {
+            continue;
+        }
         auto there = at(*each, request, cached, board);
         if (!there)
         {
--- a/tests/routing/test_placer.cpp
+++ b/tests/routing/test_placer.cpp
@@ -118,6 +118,29 @@
     BOOST_TEST(place(request)->load.unread_tokens == 6600);
 }
 
+// Symptom: while workspaces within their shares waited, engines read the same session's parts a
+// third and a fourth time; a seventh of a busy day's worth went there.
+// Sequence: a flooding workspace's requests found their sessions' homes full and went on to others.
+// Cause: work beyond its share could have any engine read anything anew.
+BOOST_AUTO_TEST_CASE(work_that_gives_way_has_no_parts_read_anew_but_at_its_homes)
+{
+    for (int engine = 0; engine < 6; ++engine)
+    {
+        add(engines, "e" + std::to_string(engine));
+    }
+    const auto parts = session("s1");
+    placement_request request{
+        .of = &engines, .prompt_tokens = 11900, .parts = &parts, .most_repeated = 300};
+    const auto home = place(request)->where.id;
+    board.begin(home, {.running = 32});
+    const auto second = place(request)->where.id;
+    board.begin(second, {.running = 32});
+
+    BOOST_TEST(!place(request).has_value());
+    request.most_repeated = 10000;
+    BOOST_TEST(place(request).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(an_engine_whose_slots_are_taken_gets_nothing)
 {
     add(engines, "e1");
