--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -17,6 +17,9 @@
 /// the engines' own reports (200 ms) at a few hundred datagrams a second in a fleet of eight.
 constexpr milliseconds tick_period{100};
 constexpr milliseconds sweep_period{500};
+constexpr std::chrono::seconds rate_period{1};
+/// Digests of a peer that may be lost before what it told no longer counts.
+constexpr int lost_digests = 5;
 /// A tick so late means that the machine stood still; all that was known may be old.
 constexpr milliseconds suspended_after{700};
 /// How often a peer is asked while this router can't reach the store.
@@ -32,6 +35,15 @@
 /// The store's own answer to a call that waits for runners, spaced so that a table in which every
 /// heartbeat shows costs three calls a second.
 constexpr milliseconds upstreams_gap{350};
+/// Calls that the store holds: they bound how long a connection that went silent goes unnoticed.
+constexpr milliseconds upstreams_hold{1500};
+constexpr milliseconds configuration_hold{1500};
+/// Routers from which on each asks the store less often. A new configuration still arrives at once,
+/// and the digests of those that have it tell the rest; upstreams must be followed within their
+/// draining time, 2 to 3 s.
+constexpr std::size_t paced_from = 20;
+constexpr milliseconds longest_gap{1200};
+constexpr milliseconds longest_hold{6000};
 /// Of what an upstream accepts, the part that all routers together keep open idle.
 constexpr double idle_share = 0.6;
 
@@ -252,7 +264,13 @@
 {
     const auto now = core_.now();
     notice_suspension(now);
-    core_.board.drop_old_peers(now);
+    core_.board.drop_old_peers(now, peers_.period() * lost_digests);
+    if (now >= next_rate_)
+    {
+        request_rate_ = static_cast<double>(core_.requests - counted_requests_);
+        counted_requests_ = core_.requests;
+        next_rate_ = now + rate_period;
+    }
     const auto doubts = core_.directory.doubts_since();
     if (doubts && peers_.store_held_since(*doubts, now))
     {
@@ -358,6 +376,9 @@
 {
     const auto routers = peers_.size() + 1;
     core_.retries.set_routers(routers);
+    const auto pace = static_cast<int>(1 + routers / paced_from);
+    upstreams_->set_pace(std::min(upstreams_gap * pace, longest_gap), upstreams_hold);
+    configurations_->set_pace({}, std::min(configuration_hold * pace, longest_hold));
     const auto table = core_.table();
     if (!table)
     {
@@ -531,12 +552,25 @@
             .control = at.control,
             .datagrams = at.datagrams,
             .ready = ready(),
+            .capacity = at.capacity,
+            .request_rate = request_rate_,
             .version = core_.version(),
             .store_held = std::chrono::duration_cast<milliseconds>(upstreams_->held(core_.now())),
             .loads = core_.board.own(),
             .usages = core_.shares.own(core_.now())};
 }
 
+routing::peer daemon::self() const
+{
+    const auto& at = core_.options;
+    return {.id = at.name,
+            .zone = at.zone,
+            .callers = at.callers,
+            .ready = ready(),
+            .capacity = at.capacity,
+            .request_rate = request_rate_};
+}
+
 row daemon::own_row() const
 {
     const auto& at = core_.options;
@@ -577,7 +611,7 @@
         return;
     }
     const base::zone_id zone(query_value(target, platform_.entry.zone_field));
-    const auto entries = peers_.entries(zone, core_.options.callers, ready(), core_.now());
+    const auto entries = peers_.entries(zone, self(), core_.now(), [this] { return core_.draw(); });
     if (entries.empty())
     {
         request->respond(http::make_response(http::status::service_unavailable), {});
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -58,6 +58,7 @@
     table_copy make_copy() const;
     routing::digest make_digest();
     row own_row() const;
+    routing::peer self() const;
 
     bool is_stopping() const
     {
@@ -97,6 +98,9 @@
     base::time_point next_own_row_{};
     base::time_point next_routers_read_{};
     std::size_t seed_ = 0;
+    base::time_point next_rate_{};
+    std::uint64_t counted_requests_ = 0;
+    double request_rate_ = 0;
     bool own_row_written_ = false;
     bool store_busy_ = false;
     bool ended_ = false;
--- a/src/libcaraway/router/settings.hpp
+++ b/src/libcaraway/router/settings.hpp
@@ -33,6 +33,8 @@
     /// How long callers keep a list of routers, and the longest that some keep it.
     std::chrono::seconds entry_lifetime{1};
     std::size_t max_descriptors = 4096;
+    /// Processor time of the VM, in cores.
+    double capacity = 1;
 };
 
 }  // namespace caraway::router
--- a/src/libcaraway/router/table_sync.hpp
+++ b/src/libcaraway/router/table_sync.hpp
@@ -27,6 +27,10 @@
                table_port port, routing::follower_options options, events on);
 
     void start();
+    void set_pace(std::chrono::milliseconds gap, std::chrono::milliseconds hold)
+    {
+        follower_.set_pace(gap, hold);
+    }
     bool lost() const
     {
         return follower_.lost();
--- a/src/libcaraway/routing/digest.cpp
+++ b/src/libcaraway/routing/digest.cpp
@@ -11,8 +11,8 @@
 using nlohmann::json;
 
 /// First field of each digest; another format gets another number.
-constexpr std::uint64_t format = 1;
-constexpr std::size_t fields = 13;
+constexpr std::uint64_t format = 2;
+constexpr std::size_t fields = 15;
 
 json endpoint_json(const endpoint& of)
 {
@@ -79,6 +79,8 @@
             .control = endpoint_of(from.at(6)),
             .datagrams = endpoint_of(from.at(7)),
             .ready = from.at(8).get<bool>(),
+            .capacity = from.at(13).get<double>(),
+            .request_rate = from.at(14).get<double>(),
             .version = base::config_version{from.at(9).get<std::uint64_t>()},
             .store_held = std::chrono::milliseconds(from.at(10).get<std::int64_t>()),
             .loads = loads_of(from.at(11)),
@@ -89,11 +91,11 @@
 
 std::string encode(const digest& what)
 {
-    const auto all = json::array({format, what.from.str(), what.life, what.number, what.zone.str(),
-                                  endpoint_json(what.callers), endpoint_json(what.control),
-                                  endpoint_json(what.datagrams), what.ready,
-                                  static_cast<std::uint64_t>(what.version), what.store_held.count(),
-                                  loads_json(what.loads), usages_json(what.usages)});
+    const auto all = json::array(
+        {format, what.from.str(), what.life, what.number, what.zone.str(),
+         endpoint_json(what.callers), endpoint_json(what.control), endpoint_json(what.datagrams),
+         what.ready, static_cast<std::uint64_t>(what.version), what.store_held.count(),
+         loads_json(what.loads), usages_json(what.usages), what.capacity, what.request_rate});
     std::string out;
     json::to_cbor(all, out);
     return out;
--- a/src/libcaraway/routing/digest.hpp
+++ b/src/libcaraway/routing/digest.hpp
@@ -27,6 +27,10 @@
     endpoint datagrams;
     /// Takes new callers.
     bool ready = false;
+    /// Processor time that its VM has, in cores.
+    double capacity = 1;
+    /// Requests that it got in the last second.
+    double request_rate = 0;
     base::config_version version{};
     /// How long the sender's copy of the platform's tables has been fresh without a break;
     /// 0: it isn't.
--- a/src/libcaraway/routing/load_board.cpp
+++ b/src/libcaraway/routing/load_board.cpp
@@ -68,11 +68,12 @@
     known = {.loads = std::move(loads), .heard = now};
 }
 
-void load_board::drop_old_peers(base::time_point now)
+void load_board::drop_old_peers(base::time_point now, std::chrono::milliseconds lifetime)
 {
+    lifetime = std::max(lifetime, options_.peer_lifetime);
     for (auto each = peers_.begin(); each != peers_.end();)
     {
-        if (each->second.heard + options_.peer_lifetime > now)
+        if (each->second.heard + lifetime > now)
         {
             ++each;
             continue;
--- a/src/libcaraway/routing/load_board.hpp
+++ b/src/libcaraway/routing/load_board.hpp
@@ -48,7 +48,8 @@
     void end(const base::upstream_id& id, const upstream_load& of);
 
     void set_peer(const base::node_id& peer, upstream_loads loads, base::time_point now);
-    void drop_old_peers(base::time_point now);
+    /// `lifetime` if digests come so rarely that the usual one would drop living peers.
+    void drop_old_peers(base::time_point now, std::chrono::milliseconds lifetime = {});
 
     const upstream_loads& own() const
     {
--- a/src/libcaraway/routing/peer_table.cpp
+++ b/src/libcaraway/routing/peer_table.cpp
@@ -5,6 +5,27 @@
 namespace caraway::routing
 {
 
+namespace
+{
+
+/// Digests are sent at ticks; one that comes a little early still counts as due.
+constexpr std::chrono::milliseconds half_tick{50};
+
+/// Requests a second for a core of these together; 0 for none.
+double load_of(const std::vector<const peer*>& routers)
+{
+    double rate = 0;
+    double capacity = 0;
+    for (const auto* each : routers)
+    {
+        rate += each->request_rate;
+        capacity += each->capacity;
+    }
+    return capacity > 0 ? rate / capacity : 0;
+}
+
+}  // namespace
+
 peer_table::peer_table(base::node_id self, base::zone_id zone, peer_options options)
     : self_(std::move(self)), zone_(std::move(zone)), options_(options)
 {
@@ -55,6 +76,8 @@
              .control = from.control,
              .datagrams = from.datagrams,
              .ready = from.ready,
+             .capacity = from.capacity,
+             .request_rate = from.request_rate,
              .version = from.version,
              .store_held = from.store_held,
              .heard = now,
@@ -78,7 +101,8 @@
     std::vector<endpoint> due;
     for (auto& [id, each] : peers_)
     {
-        if (is_heard(each, now) || each.last_sent + options_.probe_period <= now)
+        const auto pause = is_heard(each, now) ? period() - half_tick : options_.probe_period;
+        if (each.last_sent + pause <= now)
         {
             each.last_sent = now;
             due.push_back(each.datagrams);
@@ -87,30 +111,64 @@
     return due;
 }
 
-std::vector<endpoint> peer_table::entries(const base::zone_id& zone, const endpoint& self,
-                                          bool self_ready, base::time_point now) const
+std::vector<endpoint> peer_table::entries(const base::zone_id& zone, const peer& self,
+                                          base::time_point now,
+                                          const std::function<double()>& draw) const
+{
+    const auto all = listed(self, now);
+    std::vector<const peer*> near;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(near),
+                 [&](const peer* each) { return each->zone == zone; });
+    const bool too_few = near.size() < std::min(options_.entries_in_zone, all.size());
+    const bool crowded = load_of(near) > options_.crowded * load_of(all);
+    const auto& chosen = too_few || crowded ? all : near;
+
+    double largest = 0;
+    for (const auto* each : chosen)
+    {
+        largest = std::max(largest, each->capacity);
+    }
+    std::vector<endpoint> entries;
+    for (const auto* each : chosen)
+    {
+        if (entries.size() < options_.max_entries && draw() * largest < each->capacity)
+        {
+            entries.push_back(each->callers);
+        }
+    }
+    return entries;
+}
+
+std::vector<const peer*> peer_table::listed(const peer& self, base::time_point now) const
 {
     const bool cut_off = seems_cut_off(now);
-    std::vector<endpoint> near;
-    std::vector<endpoint> far;
-    if (self_ready)
+    std::vector<const peer*> all;
+    if (self.ready)
     {
-        (zone_ == zone ? near : far).push_back(self);
+        all.push_back(&self);
     }
     for (const auto& [id, each] : peers_)
     {
-        const bool listed = each.ready && (is_heard(each, now) || (cut_off && each.heard));
-        if (listed)
+        if (each.ready && (is_heard(each, now) || (cut_off && each.heard)))
         {
-            (each.zone == zone ? near : far).push_back(each.callers);
+            all.push_back(&each);
         }
     }
-    if (near.size() < options_.entries_in_zone)
+    leave_out_flooded(all);
+    return all;
+}
+
+void peer_table::leave_out_flooded(std::vector<const peer*>& from) const
+{
+    const auto usual = load_of(from);
+    const auto limit = std::max(options_.flooded, 3 * usual);
+    std::vector<const peer*> others;
+    std::copy_if(from.begin(), from.end(), std::back_inserter(others),
+                 [&](const peer* each) { return each->request_rate <= limit * each->capacity; });
+    if (others.size() * 2 > from.size())
     {
-        near.insert(near.end(), far.begin(), far.end());
+        from = std::move(others);
     }
-    near.resize(std::min(near.size(), options_.max_entries));
-    return near;
 }
 
 const peer* peer_table::newer(base::config_version than, base::time_point now) const
@@ -162,7 +220,19 @@
 
 bool peer_table::is_heard(const peer& of, base::time_point now) const
 {
-    return of.heard && *of.heard + options_.silent > now;
+    return of.heard && *of.heard + silence() > now;
+}
+
+std::chrono::milliseconds peer_table::period() const
+{
+    const auto times = std::max<std::size_t>(1, (peers_.size() + 1) / options_.full_rate);
+    return options_.period * times;
+}
+
+std::chrono::milliseconds peer_table::silence() const
+{
+    const auto periods = static_cast<double>(period().count()) * options_.silent_periods;
+    return std::chrono::milliseconds(static_cast<std::int64_t>(periods));
 }
 
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/peer_table.hpp
+++ b/src/libcaraway/routing/peer_table.hpp
@@ -2,6 +2,7 @@
 
 #include "libcaraway/routing/digest.hpp"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -11,8 +12,12 @@
 
 struct peer_options
 {
-    /// A peer that was silent for so long isn't given to callers: six digests.
-    std::chrono::milliseconds silent{650};
+    /// Time between two digests to one peer, in a fleet of up to `full_rate` routers; in larger
+    /// ones it grows with their number, so that each gets no more digests a second.
+    std::chrono::milliseconds period{100};
+    std::size_t full_rate = 16;
+    /// A peer that was silent for so many periods isn't given to callers.
+    double silent_periods = 6.5;
     /// A silent peer still gets digests, less often, so that a healed cut is noticed.
     std::chrono::milliseconds probe_period{1000};
     /// Peers heard within this count when a router asks itself whether it is cut off.
@@ -23,6 +28,12 @@
     std::size_t entries_in_zone = 2;
     /// Entry points in one answer at most.
     std::size_t max_entries = 64;
+    /// Callers of a zone are sent to others too once its routers get so many times the requests for
+    /// their capacity that all routers get.
+    double crowded = 4;
+    /// Requests a second for a core from which a router is left out of the lists while others get
+    /// less than a third of that: at 0.3 ms a request a third of its processor's time.
+    double flooded = 1000;
 };
 
 /// A router that others know.
@@ -36,6 +47,8 @@
     endpoint control;
     endpoint datagrams;
     bool ready = false;
+    double capacity = 1;
+    double request_rate = 0;
     base::config_version version{};
     std::chrono::milliseconds store_held{};
     /// Nothing before the first digest.
@@ -60,11 +73,16 @@
     /// Peers that get a digest now: those that are heard, and at times the silent ones.
     std::vector<endpoint> take_due(base::time_point now);
 
-    /// Where callers of that zone should connect. `self_ready`: this router is one of them.
+    /// Where a caller of that zone should connect, out of all routers, this one (`self`) included
+    /// if it is ready. Callers pick one at random, so a smaller VM is named less often: in
+    /// proportion to the largest one named. `draw` is uniform in [0, 1).
+    ///
     /// A router that hears less than half of those it knows is likely cut off itself, so it names
     /// all it knows: callers pass over dead ones, and would else all come here.
-    std::vector<endpoint> entries(const base::zone_id& zone, const endpoint& self, bool self_ready,
-                                  base::time_point now) const;
+    std::vector<endpoint> entries(const base::zone_id& zone, const peer& self, base::time_point now,
+                                  const std::function<double()>& draw) const;
+    /// Time between two digests to one peer, as the fleet is now.
+    std::chrono::milliseconds period() const;
 
     /// A heard peer with a newer configuration, or with a fresh copy of the platform's tables.
     const peer* newer(base::config_version than, base::time_point now) const;
@@ -84,6 +102,9 @@
 
 private:
     bool seems_cut_off(base::time_point now) const;
+    std::chrono::milliseconds silence() const;
+    void leave_out_flooded(std::vector<const peer*>& from) const;
+    std::vector<const peer*> listed(const peer& self, base::time_point now) const;
 
     base::node_id self_;
     base::zone_id zone_;
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -31,58 +31,81 @@
     return chain;
 }
 
-/// What of a request is the same at all upstreams.
-struct prompt_chain
+/// Where a request's shared parts are at home, among the candidates by index.
+struct prompt_homes
 {
-    /// Each shared part with all before it.
+    static constexpr std::size_t nowhere = std::numeric_limits<std::size_t>::max();
+
+    /// Each shared part with all before it, and the home of each.
     std::vector<std::uint64_t> shared;
-    /// Hashes of the candidates' ids.
-    std::vector<std::uint64_t> candidates;
-};
+    std::vector<std::size_t> homes;
+    /// The next in line for the deepest part.
+    std::size_t second = nowhere;
 
-prompt_chain chain_for(const std::vector<const upstream*>& candidates,
-                       const std::vector<prompt_part>* parts)
-{
-    prompt_chain chain;
-    if (parts == nullptr || parts->size() < 2)
+    /// How many shared parts, from the first, the candidate is believed to hold as a home.
+    std::size_t depth(std::size_t candidate) const
     {
-        return chain;
-    }
-    chain.shared = chain_of(*parts);
-    chain.shared.pop_back();
-    for (const auto* each : candidates)
-    {
-        chain.candidates.push_back(stable_hash(each->id.str()));
+        for (std::size_t part = homes.size(); part > 0; --part)
+        {
+            if (homes[part - 1] == candidate)
+            {
+                return part;
+            }
+        }
+        return 0;
     }
-    return chain;
-}
+};
 
-/// How many shared parts, from the first, the candidate is the home of, by each part's own home.
-std::size_t home_depth(const prompt_chain& chain, std::size_t candidate)
+/// The highest and second highest weight of a part over the candidates: rendezvous hashing.
+std::pair<std::size_t, std::size_t> best_two(std::uint64_t part,
+                                             const std::vector<std::uint64_t>& candidates)
 {
-    std::size_t depth = 0;
-    for (std::size_t part = 0; part < chain.shared.size(); ++part)
+    std::size_t first = prompt_homes::nowhere;
+    std::size_t second = prompt_homes::nowhere;
+    std::uint64_t highest = 0;
+    std::uint64_t next = 0;
+    for (std::size_t index = 0; index < candidates.size(); ++index)
     {
-        const auto mine = combine(chain.shared[part], chain.candidates[candidate]);
-        const bool home = std::none_of(chain.candidates.begin(), chain.candidates.end(),
-                                       [&](std::uint64_t other)
-                                       { return combine(chain.shared[part], other) > mine; });
-        depth = home ? part + 1 : depth;
+        const auto weight = combine(part, candidates[index]);
+        if (first == prompt_homes::nowhere || weight > highest)
+        {
+            second = first;
+            next = highest;
+            first = index;
+            highest = weight;
+        }
+        else if (second == prompt_homes::nowhere || weight > next)
+        {
+            second = index;
+            next = weight;
+        }
     }
-    return depth;
+    return {first, second};
 }
 
-/// Whether exactly one other candidate comes before this one for the deepest shared part.
-bool is_second_home(const prompt_chain& chain, std::size_t candidate)
+prompt_homes homes_for(const std::vector<const upstream*>& candidates,
+                       const std::vector<prompt_part>* parts)
 {
-    if (chain.shared.empty())
+    prompt_homes out;
+    if (parts == nullptr || parts->size() < 2)
+    {
+        return out;
+    }
+    out.shared = chain_of(*parts);
+    out.shared.pop_back();
+    std::vector<std::uint64_t> ids;
+    ids.reserve(candidates.size());
+    for (const auto* each : candidates)
+    {
+        ids.push_back(stable_hash(each->id.str()));
+    }
+    for (const auto part : out.shared)
     {
-        return false;
+        const auto [first, second] = best_two(part, ids);
+        out.homes.push_back(first);
+        out.second = second;
     }
-    const auto mine = combine(chain.shared.back(), chain.candidates[candidate]);
-    return std::count_if(chain.candidates.begin(), chain.candidates.end(),
-                         [&](std::uint64_t other)
-                         { return combine(chain.shared.back(), other) > mine; }) == 1;
+    return out;
 }
 
 std::uint32_t shared_tokens(const placement_request& request)
@@ -109,7 +132,7 @@
                                         base::time_point now)
 {
     const auto candidates = directory.usable(request.of->id);
-    const auto chain = chain_for(candidates, request.of->engine ? request.parts : nullptr);
+    const auto homes = homes_for(candidates, request.of->engine ? request.parts : nullptr);
     std::optional<placement> best;
     double lowest = std::numeric_limits<double>::infinity();
     for (std::size_t index = 0; index < candidates.size(); ++index)
@@ -121,10 +144,9 @@
         {
             continue;
         }
-        const auto cached = cached_tokens(each->id, request, chain.shared,
-                                          chain.shared.empty() ? 0 : home_depth(chain, index), now);
-        if (shared_tokens(request) - cached > request.most_repeated &&
-            !is_second_home(chain, index))
+        const auto cached = cached_tokens(each->id, request, homes.shared, homes.depth(index), now);
+        const bool second_home = homes.second == index;
+        if (shared_tokens(request) - cached > request.most_repeated && !second_home)
         {
             continue;
         }
@@ -133,8 +155,8 @@
         {
             continue;
         }
-        const double repeated = (shared_tokens(request) - cached) *
-                                (is_second_home(chain, index) ? options_.second_home : 1.0);
+        const double repeated =
+            (shared_tokens(request) - cached) * (second_home ? options_.second_home : 1.0);
         const double costs = cost(*each, request, *there, repeated, board.total(each->id).running);
         if (costs < lowest)
         {
--- a/src/libcaraway/routing/row_follower.hpp
+++ b/src/libcaraway/routing/row_follower.hpp
@@ -41,6 +41,14 @@
 
     explicit row_follower(follower_options options = {});
 
+    /// In a large fleet each router asks less often; the others tell it of what it missed
+    /// meanwhile.
+    void set_pace(std::chrono::milliseconds gap, std::chrono::milliseconds hold)
+    {
+        options_.gap = gap;
+        options_.hold = hold;
+    }
+
     /// What to ask next. While the store is lost, calls aren't held there: one that got lost itself
     /// would keep the next from finding out that the store is back.
     call next(base::time_point now) const;
--- a/src/libcaraway/routing/workspace_shares.hpp
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -24,7 +24,7 @@
     /// The time over which shares are kept.
     std::chrono::milliseconds window{4000};
     /// How long a silent router's counts are believed.
-    std::chrono::milliseconds peer_lifetime{1500};
+    std::chrono::milliseconds peer_lifetime{4000};
     /// How old an allocation may be; it is a sort over the workspaces.
     std::chrono::milliseconds refresh{100};
     /// A workspace is backlogged that gets less than this part of what it asks.
