Routing: the bound of half full engines reverted

Open: strict terms feed on themselves (a refused workspace counts as backlogged); a measure of an engine's business in prompts, not slots, is what is missing.

--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -12,9 +12,6 @@
 /// a pump looks at upstreams for each, and comes again with the next place that is free.
 constexpr std::size_t max_misses = 12;
 
-/// As old as what the load board knows of other routers.
-constexpr std::chrono::milliseconds busy_lifetime{100};
-
 scheduling::scheduler_options health_settings()
 {
     scheduling::scheduler_options options;
@@ -142,24 +139,6 @@
     }
 }
 
-double core::busy(const routing::service& of)
-{
-    auto& known = busy_[of.id];
-    if (now() < known.until)
-    {
-        return known.part;
-    }
-    double taken = 0;
-    double slots = 0;
-    for (const auto* each : directory.usable(of.id))
-    {
-        taken += std::min(board.total(each->id).running, each->slots);
-        slots += each->slots;
-    }
-    known = {.part = slots > 0 ? taken / slots : 1, .until = now() + busy_lifetime};
-    return known.part;
-}
-
 double core::draw()
 {
     return std::uniform_real_distribution<double>(0, 1)(random_);
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -53,9 +53,6 @@
 
     void note_attempt(const base::upstream_id& id, const base::service_id& service,
                       scheduling::attempt_result result);
-    /// Part of the slots of a service's usable engines that are taken, at most a tenth of a second
-    /// old.
-    double busy(const routing::service& of);
     /// Uniform in [0, 1).
     double draw();
 
@@ -90,12 +87,6 @@
     std::map<routing::ticket, std::weak_ptr<request_session>> waiting_;
     std::mt19937_64 random_;
     bool pumping_ = false;
-    struct business
-    {
-        double part = 0;
-        base::time_point until{};
-    };
-    std::map<base::service_id, business> busy_;
 };
 
 }  // namespace caraway::router
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -660,9 +660,7 @@
         return {};
     }
     const auto now = core_.now();
-    return {.fill = core_.shares.fill(account_, now),
-            .ahead = core_.shares.ahead(account_, now),
-            .busy = core_.busy(*service_)};
+    return {.fill = core_.shares.fill(account_, now), .ahead = core_.shares.ahead(account_, now)};
 }
 
 double request_session::tokens() const
--- a/src/libcaraway/routing/admission.cpp
+++ b/src/libcaraway/routing/admission.cpp
@@ -32,7 +32,7 @@
     // Capacity that nobody within its share wants is for whoever asks; of two that are beyond
     // theirs the one that has had less finds more places, so that they come out alike.
     const auto hold = part_of(target, options.hold_beyond);
-    if (of.ahead <= 0 || of.busy < options.contended_from)
+    if (of.ahead <= 0)
     {
         return {.longest_wait = part_of(target, options.engine_wait_beyond),
                 .slot_share = options.slots_beyond,
--- a/src/libcaraway/routing/admission.hpp
+++ b/src/libcaraway/routing/admission.hpp
@@ -17,16 +17,13 @@
     /// The same for a request beyond its workspace's share while nobody is backlogged: it takes
     /// what would idle.
     double engine_wait_beyond = 0.6;
-    /// And while somebody is, and the engines are as busy as `contended_from`. Without that bound a
-    /// few refusals made their workspaces backlogged, which made the terms strict, which refused
-    /// more, with engines half empty.
+    /// And while somebody is.
     double engine_wait_contended = 0.25;
     double hold_beyond = 0.12;
     /// Part of an engine's slots open to requests beyond their share; the rest is kept so that
     /// those within it find a place at once.
     double slots_beyond = 0.95;
     double slots_contended = 0.65;
-    double contended_from = 0.5;
     /// Tokens of shared parts that an engine may read anew for a request beyond its share while
     /// somebody is backlogged: such reading takes from those within theirs.
     std::uint32_t repeated_contended = 300;
@@ -53,8 +50,6 @@
 {
     double fill = 0;
     double ahead = 0;
-    /// Part of the service's slots that are taken, over all its engines.
-    double busy = 1;
 };
 
 admission_terms admit(const route& by, const standing& of, const admission_options& options = {});
