--- a/src/caraway_load/calls/connection.hpp
+++ b/src/caraway_load/calls/connection.hpp
@@ -20,7 +20,8 @@
     std::string host;
     std::uint16_t port = 0;
 
-    friend auto operator<=>(const target&, const target&) = default;
+    friend auto operator<=>(const target&,
+                            const target&) = default;  // NOLINT(modernize-use-nullptr)
 };
 
 /// What happens to a request on a connection.
--- a/src/caraway_load/calls/response_reader.cpp
+++ b/src/caraway_load/calls/response_reader.cpp
@@ -121,11 +121,13 @@
     const QList<QByteArray> words = head_.left(head_.indexOf(line_end)).split(' ');
     status_ = words.size() > 1 && words[0].startsWith("HTTP/1.1") ? words[1].toInt() : 0;
     const QByteArray length = header("content-length");
+    // An answer that ends with the connection can't be told from one that was cut.
+    state_ = state::malformed;
     if (status_ == 0)
     {
-        state_ = state::malformed;
+        return true;
     }
-    else if (header("transfer-encoding").toLower() == "chunked")
+    if (header("transfer-encoding").toLower() == "chunked")
     {
         state_ = state::chunk_size;
     }
@@ -134,11 +136,6 @@
         left_ = length.toLongLong();
         state_ = left_ == 0 ? state::ended : state::counted_body;
     }
-    else
-    {
-        // An answer that ends with the connection can't be told from one that was cut.
-        state_ = state::malformed;
-    }
     return true;
 }
 
--- a/src/caraway_load/calls/router_directory.cpp
+++ b/src/caraway_load/calls/router_directory.cpp
@@ -129,8 +129,9 @@
     }
     std::uint32_t first = asked;
     bool found = false;
-    for (const QJsonValue& each : addresses)
+    for (const auto& entry : addresses)
     {
+        const QJsonObject each = entry.toObject();
         const std::uint32_t router = index_of({each["address"].toString().toStdString(),
                                                static_cast<std::uint16_t>(each["port"].toInt())});
         if (router == home)
--- a/src/caraway_load/workload/json_fields.cpp
+++ b/src/caraway_load/workload/json_fields.cpp
@@ -53,7 +53,7 @@
 QJsonValue json_fields::take(const char* name)
 {
     // Not QJsonObject::take: it gives null, not undefined, for what is absent.
-    const QJsonValue value = rest_.value(QLatin1String(name));
+    QJsonValue value = rest_.value(QLatin1String(name));
     rest_.remove(QLatin1String(name));
     return value;
 }
--- a/src/libcaraway/base/ids.hpp
+++ b/src/libcaraway/base/ids.hpp
@@ -37,7 +37,9 @@
     incarnation life{};
 
     friend bool operator==(const node_ref&, const node_ref&) = default;
-    friend std::strong_ordering operator<=>(const node_ref&, const node_ref&) = default;
+    friend std::strong_ordering
+    operator<=>(const node_ref&,
+                const node_ref&) = default;  // NOLINT(modernize-use-nullptr)
 };
 
 /// Counts the requests of one life of one router, from 1.
--- a/src/libcaraway/base/units.hpp
+++ b/src/libcaraway/base/units.hpp
@@ -60,7 +60,7 @@
         return value_;
     }
 
-    friend constexpr auto operator<=>(share, share) = default;
+    friend constexpr auto operator<=>(share, share) = default;  // NOLINT(modernize-use-nullptr)
 
 private:
     double value_ = 1;
@@ -79,7 +79,8 @@
         return value_;
     }
 
-    friend constexpr auto operator<=>(virtual_time, virtual_time) = default;
+    friend constexpr auto operator<=>(virtual_time,
+                                      virtual_time) = default;  // NOLINT(modernize-use-nullptr)
 
 private:
     double value_ = 0;
--- a/src/libcaraway/http/timer_queue.hpp
+++ b/src/libcaraway/http/timer_queue.hpp
@@ -24,7 +24,8 @@
         base::time_point at{};
         std::uint64_t number = 0;
 
-        friend auto operator<=>(const handle&, const handle&) = default;
+        friend auto operator<=>(const handle&,
+                                const handle&) = default;  // NOLINT(modernize-use-nullptr)
     };
 
     timer_queue(boost::asio::io_context& loop, const base::clock& clock);
--- a/src/libcaraway/membership/membership_timers.cpp
+++ b/src/libcaraway/membership/membership_timers.cpp
@@ -219,6 +219,7 @@
         lost.erase(table_.find(id)->details.peer);
     }
     std::vector<lost_node> all;
+    all.reserve(lost.size());
     for (auto& [address, node] : lost)
     {
         all.push_back({.address = address, .node = std::move(node)});
--- a/src/libcaraway/membership/message_size.cpp
+++ b/src/libcaraway/membership/message_size.cpp
@@ -20,7 +20,7 @@
     {
         return 1;
     }
-    const int bits = std::bit_width(value);
+    const auto bits = static_cast<int>(std::bit_width(value));
     return bits <= 8 ? 2 : bits <= 16 ? 3 : bits <= 32 ? 5 : 9;
 }
 
--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -23,12 +23,12 @@
 
 }  // namespace
 
-core::core(boost::asio::io_context& loop_, const base::clock& clock_, settings options_,
-           caller_protocol protocol_, telemetry::line_log& log_)
-    : loop(loop_), clock(clock_), options(std::move(options_)), protocol(std::move(protocol_)),
-      log(log_), timers(loop, clock), pool(loop, timers), retries(options.retries),
-      placer({.zone = options.zone}), health_options(health_settings()), health(health_options),
-      random_(std::random_device{}())
+core::core(boost::asio::io_context& event_loop, const base::clock& process_clock,
+           settings process_options, caller_protocol callers, telemetry::line_log& lines)
+    : loop(event_loop), clock(process_clock), options(std::move(process_options)),
+      protocol(std::move(callers)), log(lines), timers(loop, clock), pool(loop, timers),
+      retries(options.retries), placer({.zone = options.zone}), health_options(health_settings()),
+      health(health_options), random_(std::random_device{}())
 {
     shares.set_window(options.share_window);
 }
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -29,8 +29,8 @@
 class core
 {
 public:
-    core(boost::asio::io_context& loop, const base::clock& clock, settings options,
-         caller_protocol protocol, telemetry::line_log& log);
+    core(boost::asio::io_context& event_loop, const base::clock& process_clock,
+         settings process_options, caller_protocol callers, telemetry::line_log& lines);
 
     /// Puts a newer configuration in force; an older one, or the same, changes nothing: what a
     /// router has once done it doesn't undo, however late another copy arrives.
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -195,7 +195,7 @@
         own_limits, [this](const auto& request) { answer_metrics(request); }, 8);
 }
 
-void daemon::open_tables(platform_port platform)
+void daemon::open_tables(const platform_port& platform)
 {
     const auto take_rows = [this](const std::vector<row>& rows)
     {
@@ -347,7 +347,7 @@
         next_own_row_ = now + own_row_retry;
         store_busy_ = true;
         platform_.routers.write(own_row(),
-                                [this](base::result<void> result)
+                                [this](const base::result<void>& result)
                                 {
                                     store_busy_ = false;
                                     own_row_written_ = static_cast<bool>(result);
@@ -359,7 +359,7 @@
         next_routers_read_ = now + routers_period;
         store_busy_ = true;
         platform_.routers.read_all(
-            [this](base::result<rows_answer> result)
+            [this](const base::result<rows_answer>& result)
             {
                 store_busy_ = false;
                 if (result)
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -40,7 +40,7 @@
     nlohmann::ordered_json state();
 
 private:
-    void open_tables(platform_port platform);
+    void open_tables(const platform_port& platform);
     void open_listeners();
     void watch_signals();
 
--- a/src/libcaraway/routing/waiting_line.cpp
+++ b/src/libcaraway/routing/waiting_line.cpp
@@ -34,6 +34,7 @@
     }
     std::sort(keys.begin(), keys.end());
     std::vector<ticket> out;
+    out.reserve(keys.size());
     for (const auto& each : keys)
     {
         out.push_back(std::get<ticket>(each));
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -108,7 +108,8 @@
 
 std::int64_t workspace_shares::part_number(base::time_point now) const
 {
-    return now.time_since_epoch() / (options_.window / parts);
+    const base::duration part = options_.window / static_cast<int>(parts);
+    return now.time_since_epoch() / part;
 }
 
 workspace_usage& workspace_shares::current(const base::workspace_id& id, base::time_point now)
--- a/src/libcaraway/scheduling/messages.hpp
+++ b/src/libcaraway/scheduling/messages.hpp
@@ -17,7 +17,9 @@
     base::workspace_id workspace;
 
     friend bool operator==(const account&, const account&) = default;
-    friend std::strong_ordering operator<=>(const account&, const account&) = default;
+    friend std::strong_ordering
+    operator<=>(const account&,
+                const account&) = default;  // NOLINT(modernize-use-nullptr)
 };
 
 /// Requests of one workspace that wait for one service at the reporting router.
--- a/src/libcaraway/scheduling/router_role.cpp
+++ b/src/libcaraway/scheduling/router_role.cpp
@@ -459,6 +459,7 @@
         }
     }
     std::vector<holding> holdings;
+    holdings.reserve(held.size());
     for (const auto& [upstream, count] : held)
     {
         holdings.push_back({.upstream = upstream, .held = count});
--- a/src/libcaraway/scheduling/slot_ledger.cpp
+++ b/src/libcaraway/scheduling/slot_ledger.cpp
@@ -111,9 +111,10 @@
             continue;
         }
         const auto routers = context_.view.reporting_routers();
-        const bool complete = std::all_of(routers.begin(), routers.end(),
-                                          [&](const auto& router)
-                                          { return reported(router, book.taking_over->views); });
+        const auto& views = book.taking_over->views;
+        const bool complete =
+            std::all_of(routers.begin(), routers.end(),
+                        [&](const auto& router) { return reported(router, views); });
         if (complete || now >= book.taking_over->until)
         {
             book.taking_over.reset();
--- a/src/libcaraway/telemetry/line_log.cpp
+++ b/src/libcaraway/telemetry/line_log.cpp
@@ -15,14 +15,14 @@
 {
 }
 
-void line_log::line(std::string_view event, nlohmann::ordered_json fields)
+void line_log::line(std::string_view event, const nlohmann::ordered_json& fields)
 {
     if (!admit())
     {
         ++dropped_;
         return;
     }
-    append(event, std::move(fields));
+    append(event, fields);
 }
 
 void line_log::flush()
@@ -53,7 +53,7 @@
     return true;
 }
 
-void line_log::append(std::string_view event, nlohmann::ordered_json fields)
+void line_log::append(std::string_view event, const nlohmann::ordered_json& fields)
 {
     const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
         clock_.wall_time().time_since_epoch());
--- a/src/libcaraway/telemetry/line_log.hpp
+++ b/src/libcaraway/telemetry/line_log.hpp
@@ -34,7 +34,7 @@
     line_log(const base::clock& clock, sink out, log_options options = {});
 
     void line(std::string_view event,
-              nlohmann::ordered_json fields = nlohmann::ordered_json::object());
+              const nlohmann::ordered_json& fields = nlohmann::ordered_json::object());
     /// Hands what waits to the sink. Called many times a second, so that lines are written
     /// together.
     void flush();
@@ -54,7 +54,7 @@
 
 private:
     bool admit();
-    void append(std::string_view event, nlohmann::ordered_json fields);
+    void append(std::string_view event, const nlohmann::ordered_json& fields);
 
     const base::clock& clock_;
     sink out_;
--- a/src/libfleet/fleet.cpp
+++ b/src/libfleet/fleet.cpp
@@ -18,7 +18,6 @@
 {
 
 using caraway::base::errc;
-using caraway::base::error;
 using caraway::base::make_error;
 using caraway::base::result;
 using caraway::base::success;
--- a/tests/http/test_server_connection.cpp
+++ b/tests/http/test_server_connection.cpp
@@ -244,6 +244,7 @@
 BOOST_AUTO_TEST_CASE(the_oldest_idle_connections_make_room_for_new_ones)
 {
     std::vector<std::shared_ptr<http_tests::raw_end>> idle;
+    idle.reserve(100);
     for (int each = 0; each < 100; ++each)
     {
         idle.push_back(caller());
