--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -268,7 +268,7 @@
                     .help = "Time from a request's first byte to its end, in seconds."},
                    {{"outcome", std::string(outcome)}})
         .observe(now - request_->arrived());
-    core_.log.line("request", std::move(line));
+    core_.log.line("request", line);
 }
 
 void request_session::on_deadline()
