Tests: the crowded zone's case states its threshold

Cause: the whole check failed once, and thirty times of thirty after: callers_of_a_crowded_zone_are_sent_to_others_too.

Change: the case sets the threshold that it plays; its expectations are the same. The setting's comment says what the measurement said, and that three zones alike never reach it. No code changes.

--- a/src/libcaraway/routing/peer_table.hpp
+++ b/src/libcaraway/routing/peer_table.hpp
@@ -29,7 +29,8 @@
     /// Entry points in one answer at most.
     std::size_t max_entries = 64;
     /// Callers of a zone are sent to others too once its routers get so many times the requests for
-    /// their capacity that all routers get.
+    /// their capacity that all routers get. At 1.5 a calm day of 8 routers in 3 zones refused 0.17
+    /// of its requests, at 4 0.06: it is a last resort, and with three zones alike never reached.
     double crowded = 4;
     /// Requests a second for a core from which a router is left out of the lists while others get
     /// less than a third of that: at 0.3 ms a request a third of its processor's time.
--- a/tests/routing/test_peers.cpp
+++ b/tests/routing/test_peers.cpp
@@ -107,7 +107,7 @@
 
 BOOST_AUTO_TEST_CASE(callers_of_a_crowded_zone_are_sent_to_others_too)
 {
-    auto peers = make();
+    peer_table peers(base::node_id("self"), zone, {.crowded = 1.5});
     auto crowded = from("b");
     crowded.request_rate = 300;
     peers.heard(crowded, now);
