--- a/src/libcaraway/http/client_connection.cpp
+++ b/src/libcaraway/http/client_connection.cpp
@@ -60,7 +60,6 @@
     busy_ = true;
     sent_ = false;
     written_ = false;
-    ++calls_;
     start_parser();
     if (open_)
     {
--- a/src/libcaraway/http/client_connection.hpp
+++ b/src/libcaraway/http/client_connection.hpp
@@ -73,10 +73,6 @@
     {
         return kept_until_;
     }
-    bool was_used() const
-    {
-        return calls_ > 0;
-    }
 
 private:
     using tcp = boost::asio::ip::tcp;
@@ -108,7 +104,6 @@
     answer_check belongs_;
     base::time_point idle_since_{};
     std::optional<base::time_point> kept_until_;
-    std::uint64_t calls_ = 0;
     bool head_only_ = false;
     bool busy_ = false;
     bool open_ = false;
--- a/src/libcaraway/http/exchange.cpp
+++ b/src/libcaraway/http/exchange.cpp
@@ -127,9 +127,4 @@
     gone_ = std::move(action);
 }
 
-std::size_t exchange::backlog() const
-{
-    return connection_->out_.size() + connection_->sending_.size();
-}
-
 }  // namespace caraway::http
--- a/src/libcaraway/http/server_connection.hpp
+++ b/src/libcaraway/http/server_connection.hpp
@@ -65,9 +65,6 @@
     /// Called once if the caller closes its connection before the answer is complete.
     void on_gone(std::function<void()> action);
 
-    /// Bytes that the caller hasn't taken yet.
-    std::size_t backlog() const;
-
 private:
     friend class server_connection;
 
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -1,9 +1,6 @@
 #include "libcaraway/router/daemon.hpp"
 
-#include <boost/asio/error.hpp>
-
 #include <csignal>
-#include <sys/random.h>
 
 namespace caraway::router
 {
@@ -155,10 +152,6 @@
             if (signal == SIGHUP)
             {
                 core_.log.line("reload", {{"because", "signal"}});
-                if (on_reload)
-                {
-                    on_reload();
-                }
             }
             else
             {
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -20,8 +20,6 @@
     base::result<void> start();
     /// A planned stop: callers are led away, what is in flight ends, then the loop.
     void stop();
-    /// The settings file has changed: what can change in a life is read again.
-    std::function<void()> on_reload;
 
     /// Where it listens, once started.
     const settings& options() const
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -183,11 +183,6 @@
     }
 }
 
-void placer::forget(const base::upstream_id& id)
-{
-    read_.erase(id);
-}
-
 std::uint32_t placer::cached_tokens(const base::upstream_id& id, const placement_request& request,
                                     const std::vector<std::uint64_t>& chain, std::size_t home_depth,
                                     base::time_point now) const
--- a/src/libcaraway/routing/waiting_line.cpp
+++ b/src/libcaraway/routing/waiting_line.cpp
@@ -58,11 +58,4 @@
     return expired;
 }
 
-std::size_t waiting_line::size(const base::service_id& service) const
-{
-    return static_cast<std::size_t>(std::count_if(waiting_.begin(), waiting_.end(),
-                                                  [&](const auto& each)
-                                                  { return each.second.service == service; }));
-}
-
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/waiting_line.hpp
+++ b/src/libcaraway/routing/waiting_line.hpp
@@ -49,7 +49,6 @@
     {
         return waiting_.size();
     }
-    std::size_t size(const base::service_id& service) const;
 
 private:
     std::map<ticket, waiting_request> waiting_;
