Routing: requests that crash each upstream are refused, fleet-wide

Cause: the decision (attempts/crash_detector, crash_suspects) was built and not wired on the users' platform; a request that crashes what runs it could take down a service, one caller's try after the other. Ruled out: quarantine of all that ran beside a crash (some thirty requests held up for each that is to blame); broken connections alone as evidence (grey upstreams reset single answers; test broken_connections_alone_are_no_crash). Change: routing/crash_watch judges; losses are charged once a new connection is refused; digests tell suspects to all routers; refused before a place is looked for, as not run. A request is hashed only when lost or while there are suspects. Before: no test could be written; after: a runner-killing request is refused after 3 to 5 of 7 runners, at the whole path (tests/users_platform/test_crashes), 5 cases of the decision.

--- a/src/libcaraway/attempts/crash_suspects.cpp
+++ b/src/libcaraway/attempts/crash_suspects.cpp
@@ -1,10 +1,12 @@
 #include "libcaraway/attempts/crash_suspects.hpp"
 
-#include "libcaraway/attempts/digest.hpp"
+#include <boost/uuid/name_generator_sha1.hpp>
+#include <boost/uuid/nil_generator.hpp>
 
 #include <algorithm>
-#include <charconv>
+#include <initializer_list>
 #include <iterator>
+#include <string>
 
 namespace caraway::attempts
 {
@@ -15,12 +17,24 @@
 /// More marks than this say nothing new; bounds what a peer can make us keep.
 constexpr std::size_t max_marks = 8;
 
+/// The first bits of a SHA-1 over the fields, each with its length before it: what a caller writes
+/// can't be made to look like another caller's request.
 template <class Number>
-Number leading_bits(const config::sha256_hex& hash)
+Number hash_of(std::initializer_list<std::string_view> fields)
 {
-    constexpr std::size_t digits = sizeof(Number) * 2;
+    std::string all;
+    for (const auto field : fields)
+    {
+        all += std::to_string(field.size()) + ':';
+        all += field;
+    }
+    const boost::uuids::name_generator_sha1 generate(boost::uuids::nil_uuid());
+    const auto hash = generate(all);
     Number value{};
-    std::from_chars(hash.data(), hash.data() + digits, value, 16);
+    for (std::size_t byte = 0; byte < sizeof(Number); ++byte)
+    {
+        value = static_cast<Number>(value << 8U) | hash.data[byte];
+    }
     return value;
 }
 
@@ -29,13 +43,12 @@
 request_fingerprint fingerprint_of(const base::workspace_id& workspace,
                                    const base::service_id& service, std::string_view body)
 {
-    const auto hash = sha256({workspace.str(), service.str(), body});
-    return request_fingerprint{leading_bits<std::uint64_t>(hash)};
+    return request_fingerprint{hash_of<std::uint64_t>({workspace.str(), service.str(), body})};
 }
 
 upstream_mark mark_of(const base::upstream_id& upstream)
 {
-    return upstream_mark{leading_bits<std::uint32_t>(sha256(upstream.str()))};
+    return upstream_mark{hash_of<std::uint32_t>({upstream.str()})};
 }
 
 crash_suspects::crash_suspects(crash_options options) : options_(options) {}
@@ -105,17 +118,6 @@
     return found == nullptr ? 0 : static_cast<std::uint32_t>(found->upstreams.size());
 }
 
-caller_error crash_suspects::refusal(request_fingerprint fingerprint, outcome result,
-                                     base::time_point now) const
-{
-    const auto count = crashes(fingerprint, now);
-    auto error = make_caller_error(error_code::crashes_upstreams,
-                                   "Refused: crashed " + std::to_string(count) +
-                                       (count == 1 ? " upstream." : " upstreams."));
-    error.result = result;
-    return error;
-}
-
 bool crash_suspects::begin_quarantine(request_fingerprint fingerprint)
 {
     return quarantined_.size() < options_.max_quarantined &&
--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -124,10 +124,14 @@
 void core::note_attempt(const base::upstream_id& id, const base::service_id& service,
                         scheduling::attempt_result result)
 {
+    // Only a failure asks how many of the service's upstreams are ejected.
     std::vector<base::upstream_id> peers;
-    for (const auto* each : directory.usable(service))
+    if (result != scheduling::attempt_result::done)
     {
-        peers.push_back(each->id);
+        for (const auto* each : directory.usable(service))
+        {
+            peers.push_back(each->id);
+        }
     }
     const bool was_ejected = health.ejected(id, now());
     if (health.note(id, result, peers, now()))
@@ -139,6 +143,25 @@
     }
 }
 
+void core::note_lost(const base::upstream_id& id, attempts::request_fingerprint request)
+{
+    log_crash(crashes.lost(id, request, now()));
+}
+
+void core::note_unreachable(const base::upstream_id& id)
+{
+    log_crash(crashes.unreachable(id, now()));
+}
+
+void core::log_crash(const std::optional<attempts::upstream_crash>& crash)
+{
+    if (crash)
+    {
+        log.line("upstream_crash",
+                 {{"upstream", crash->upstream.str()}, {"requests", crash->in_flight.size()}});
+    }
+}
+
 double core::draw()
 {
     return std::uniform_real_distribution<double>(0, 1)(random_);
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -5,6 +5,7 @@
 #include "libcaraway/metrics/registry.hpp"
 #include "libcaraway/router/ports.hpp"
 #include "libcaraway/router/settings.hpp"
+#include "libcaraway/routing/crash_watch.hpp"
 #include "libcaraway/routing/load_board.hpp"
 #include "libcaraway/routing/peer_table.hpp"
 #include "libcaraway/routing/placer.hpp"
@@ -61,6 +62,9 @@
 
     void note_attempt(const base::upstream_id& id, const base::service_id& service,
                       scheduling::attempt_result result);
+    /// A connection to an upstream ended before the whole answer came, or wasn't made at all.
+    void note_lost(const base::upstream_id& id, attempts::request_fingerprint request);
+    void note_unreachable(const base::upstream_id& id);
     /// Uniform in [0, 1).
     double draw();
 
@@ -82,6 +86,7 @@
     routing::workspace_shares shares;
     routing::waiting_line line;
     routing::retry_ledger retries;
+    routing::crash_watch crashes;
     routing::placer placer;
     scheduling::scheduler_options health_options;
     scheduling::upstream_health health;
@@ -91,6 +96,8 @@
     std::optional<base::time_point> refuse_from;
 
 private:
+    void log_crash(const std::optional<attempts::upstream_crash>& crash);
+
     std::shared_ptr<const routing::route_table> table_;
     std::map<routing::ticket, std::weak_ptr<request_session>> waiting_;
     std::mt19937_64 random_;
--- a/src/libcaraway/router/daemon_tables.cpp
+++ b/src/libcaraway/router/daemon_tables.cpp
@@ -292,7 +292,8 @@
             .version = core_.version(),
             .store_held = std::chrono::duration_cast<milliseconds>(upstreams_->held(core_.now())),
             .loads = core_.board.own(),
-            .usages = core_.shares.own(core_.now())};
+            .usages = core_.shares.own(core_.now()),
+            .suspects = core_.crashes.entries(core_.now())};
 }
 
 routing::peer daemon::self() const
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -175,6 +175,10 @@
     }
     core_.board.set_peer(from.from, std::move(from.loads), now);
     core_.shares.set_peer(from.from, std::move(from.usages), now);
+    if (!from.suspects.empty())
+    {
+        core_.crashes.merge(from.suspects, now);
+    }
 }
 
 }  // namespace caraway::router
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -209,8 +209,16 @@
     }
 }
 
-void request_session::on_failed(attempt&, http::call_failure why)
+void request_session::on_failed(attempt& of, http::call_failure why)
 {
+    if (why == http::call_failure::not_connected)
+    {
+        core_.note_unreachable(of.place.where.id);
+    }
+    else
+    {
+        core_.note_lost(of.place.where.id, fingerprint());
+    }
     attempt_ended(end_of(why));
 }
 
@@ -315,6 +323,10 @@
     {
         request_->respond(head_for_caller(*of.head), of.body);
     }
+    if (core_.crashes.has_suspects())
+    {
+        core_.crashes.completed(fingerprint(), core_.now());
+    }
     end("answered", of.head->result_int(), "");
 }
 
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -1,6 +1,7 @@
 #include "libcaraway/router/request_session.hpp"
 
 #include "libcaraway/http/server_connection.hpp"
+#include "libcaraway/scheduling/stable_hash.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -123,6 +124,11 @@
 
 void request_session::look_for_place()
 {
+    if (crashes_upstreams())
+    {
+        no_place("crashes_upstreams");
+        return;
+    }
     if (try_place())
     {
         return;
@@ -151,16 +157,7 @@
     {
         return true;
     }
-    const auto terms = routing::admit(*route_, standing(), {});
-    auto place = core_.placer.choose({.of = service_,
-                                      .prompt_tokens = facts_.prompt_tokens,
-                                      .output_tokens = expected_output(),
-                                      .parts = &facts_.parts,
-                                      .tried = tried_,
-                                      .longest_wait = terms.longest_wait,
-                                      .slot_share = terms.slot_share,
-                                      .most_repeated = terms.most_repeated},
-                                     core_.directory, core_.board, core_.health, core_.now());
+    auto place = find_place();
     if (!place)
     {
         return false;
@@ -169,6 +166,20 @@
     return true;
 }
 
+std::optional<routing::placement> request_session::find_place()
+{
+    const auto terms = routing::admit(*route_, standing(), {});
+    return core_.placer.choose({.of = service_,
+                                .prompt_tokens = facts_.prompt_tokens,
+                                .output_tokens = expected_output(),
+                                .parts = &facts_.parts,
+                                .tried = tried_,
+                                .longest_wait = terms.longest_wait,
+                                .slot_share = terms.slot_share,
+                                .most_repeated = terms.most_repeated},
+                               core_.directory, core_.board, core_.health, core_.now());
+}
+
 void request_session::on_waited_too_long()
 {
     ticket_.reset();
@@ -346,6 +357,19 @@
     return static_cast<std::uint32_t>(usual_output * facts_.max_output_tokens);
 }
 
+attempts::request_fingerprint request_session::fingerprint() const
+{
+    const auto body = scheduling::stable_hash(request_->body());
+    const auto what = std::string(request_->head().method_string()) + ' ' +
+                      std::string(request_->head().target()) + ' ' + std::to_string(body);
+    return attempts::fingerprint_of(account_, service_->id, what);
+}
+
+bool request_session::crashes_upstreams() const
+{
+    return core_.crashes.has_suspects() && core_.crashes.refuses(fingerprint(), core_.now());
+}
+
 milliseconds request_session::time_left() const
 {
     return milliseconds_of(deadline_ - core_.now());
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -51,6 +51,7 @@
 
     void attempt_ended(routing::attempt_end how);
     void release_attempt();
+    std::optional<routing::placement> find_place();
     void deliver(const attempt& of);
     void refuse(std::string_view reason);
     /// Ends it for want of an upstream, by what is known of earlier attempts.
@@ -65,6 +66,10 @@
 
     http::response_head head_for_caller(const http::response_head& from) const;
     bool is_idempotent() const;
+    /// By which it is known again when its caller sends it once more, at whichever router.
+    attempts::request_fingerprint fingerprint() const;
+    /// Upstreams crashed under it, at this router or others, so that no more may run it.
+    bool crashes_upstreams() const;
     double fill() const;
     routing::standing standing() const;
     double tokens() const;
--- a/src/libcaraway/routing/digest.cpp
+++ b/src/libcaraway/routing/digest.cpp
@@ -11,8 +11,8 @@
 using nlohmann::json;
 
 /// First field of each digest; another format gets another number.
-constexpr std::uint64_t format = 2;
-constexpr std::size_t fields = 15;
+constexpr std::uint64_t format = 3;
+constexpr std::size_t fields = 16;
 
 json endpoint_json(const endpoint& of)
 {
@@ -69,6 +69,41 @@
     return usages;
 }
 
+json suspects_json(const std::vector<attempts::suspect_entry>& suspects)
+{
+    auto out = json::array();
+    for (const auto& each : suspects)
+    {
+        auto marks = json::array();
+        for (const auto mark : each.upstreams)
+        {
+            marks.push_back(static_cast<std::uint32_t>(mark));
+        }
+        out.push_back({static_cast<std::uint64_t>(each.fingerprint), marks, each.alone,
+                       each.cleared, each.expires_in_ms});
+    }
+    return out;
+}
+
+std::vector<attempts::suspect_entry> suspects_of(const json& from)
+{
+    std::vector<attempts::suspect_entry> suspects;
+    for (const auto& each : from)
+    {
+        attempts::suspect_entry entry{
+            .fingerprint = attempts::request_fingerprint{each.at(0).get<std::uint64_t>()},
+            .alone = each.at(2).get<bool>(),
+            .cleared = each.at(3).get<bool>(),
+            .expires_in_ms = each.at(4).get<std::uint32_t>()};
+        for (const auto& mark : each.at(1))
+        {
+            entry.upstreams.push_back(attempts::upstream_mark{mark.get<std::uint32_t>()});
+        }
+        suspects.push_back(std::move(entry));
+    }
+    return suspects;
+}
+
 digest digest_of(const json& from)
 {
     return {.from = base::node_id(from.at(1).get<std::string>()),
@@ -84,18 +119,20 @@
             .version = base::config_version{from.at(9).get<std::uint64_t>()},
             .store_held = std::chrono::milliseconds(from.at(10).get<std::int64_t>()),
             .loads = loads_of(from.at(11)),
-            .usages = usages_of(from.at(12))};
+            .usages = usages_of(from.at(12)),
+            .suspects = suspects_of(from.at(15))};
 }
 
 }  // namespace
 
 std::string encode(const digest& what)
 {
-    const auto all = json::array(
-        {format, what.from.str(), what.life, what.number, what.zone.str(),
-         endpoint_json(what.callers), endpoint_json(what.control), endpoint_json(what.datagrams),
-         what.ready, static_cast<std::uint64_t>(what.version), what.store_held.count(),
-         loads_json(what.loads), usages_json(what.usages), what.capacity, what.request_rate});
+    const auto all = json::array({format, what.from.str(), what.life, what.number, what.zone.str(),
+                                  endpoint_json(what.callers), endpoint_json(what.control),
+                                  endpoint_json(what.datagrams), what.ready,
+                                  static_cast<std::uint64_t>(what.version), what.store_held.count(),
+                                  loads_json(what.loads), usages_json(what.usages), what.capacity,
+                                  what.request_rate, suspects_json(what.suspects)});
     std::string out;
     json::to_cbor(all, out);
     return out;
--- a/src/libcaraway/routing/digest.hpp
+++ b/src/libcaraway/routing/digest.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libcaraway/attempts/crash_suspects.hpp"
 #include "libcaraway/base/error.hpp"
 #include "libcaraway/base/units.hpp"
 #include "libcaraway/routing/load_board.hpp"
@@ -37,6 +38,8 @@
     std::chrono::milliseconds store_held{};
     upstream_loads loads;
     workspace_usages usages;
+    /// Requests that upstreams crashed under.
+    std::vector<attempts::suspect_entry> suspects;
 };
 
 /// CBOR (RFC 8949), by library.
