Router: a stream whose upstream falls silent goes on elsewhere; a changed settings file is read anew

Cause: an upstream that loses power sends no reset, so its streams hung until their callers left (after 2 s or 8 pauses); and SIGHUP or a changed settings file was logged, nothing read. Ruled out: ending a silent answer (a silence is no reason to end one sooner): a stream is taken from a silent upstream only if it may be resumed, another upstream has a place at once, and the retry budget has one; else it is left alone. Change: router/request_silence; router/settings_change says what may change in a process's life and names what needs a restart; the file is read on SIGHUP and every 2 s; the store's address is shared by its tables and may move.

--- a/src/caraway_router/main.cpp
+++ b/src/caraway_router/main.cpp
@@ -30,14 +30,14 @@
     }
 };
 
-int run(const router::settings& settings)
+int run(const router::settings& settings, const router::settings_source& reread)
 {
     const boot_clock clock;
     boost::asio::io_context loop(1);
     telemetry::line_log log(clock, telemetry::standard_output());
     http::timer_queue store_timers(loop, clock);
     router::daemon daemon(loop, clock, settings, platform::caller_protocol(),
-                          platform::make_port(loop, store_timers, settings.store), log);
+                          platform::make_port(loop, store_timers, settings.store), log, reread);
     if (const auto started = daemon.start(); !started)
     {
         std::cerr << started.error().message << "\n";
@@ -68,7 +68,11 @@
         std::cerr << "No settings: give --settings FILE.\n";
         return 2;
     }
-    auto settings = platform::read_settings(*path);
+    const auto read = [&]
+    {
+        return platform::read_settings(*path);
+    };
+    auto settings = read();
     if (!settings)
     {
         std::cerr << path->string() << ": " << settings.error().message << "\n";
@@ -78,5 +82,5 @@
     {
         settings.value().metrics = {.ip = settings.value().callers.ip, .port = metrics_port};
     }
-    return run(settings.value());
+    return run(settings.value(), read);
 }
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -1,5 +1,7 @@
 #include "libcaraway/router/daemon.hpp"
 
+#include "libcaraway/router/settings_change.hpp"
+
 #include <csignal>
 
 namespace caraway::router
@@ -15,6 +17,8 @@
 constexpr milliseconds tick_period{100};
 constexpr milliseconds sweep_period{500};
 constexpr std::chrono::seconds rate_period{1};
+/// The settings file may change without a signal; reading its 2 KB takes a tenth of a millisecond.
+constexpr std::chrono::seconds reload_period{2};
 /// Digests of a peer that may be lost before what it told no longer counts.
 constexpr int lost_digests = 5;
 /// A tick so late means that the machine stood still; all that was known may be old.
@@ -63,9 +67,10 @@
 }  // namespace
 
 daemon::daemon(boost::asio::io_context& loop, const base::clock& clock, settings options,
-               caller_protocol protocol, platform_port platform, telemetry::line_log& log)
+               caller_protocol protocol, platform_port platform, telemetry::line_log& log,
+               settings_source reread)
     : core_(loop, clock, std::move(options), std::move(protocol), log),
-      platform_(std::move(platform)), life_(now_as_life(clock)),
+      platform_(std::move(platform)), reread_(std::move(reread)), life_(now_as_life(clock)),
       peers_(core_.options.name, core_.options.zone),
       link_(
           core_, peers_, [this] { return make_digest(); },
@@ -151,7 +156,7 @@
             }
             if (signal == SIGHUP)
             {
-                core_.log.line("reload", {{"because", "signal"}});
+                reload("signal");
             }
             else
             {
@@ -191,6 +196,11 @@
         peers_.forget_old(now);
         set_shares_of_limits();
     }
+    if (now >= next_reload_)
+    {
+        next_reload_ = now + reload_period;
+        reload("file");
+    }
     if (is_stopping())
     {
         progress_stop(now);
@@ -210,6 +220,37 @@
     last_tick_ = now;
 }
 
+void daemon::reload(std::string_view because)
+{
+    if (!reread_)
+    {
+        return;
+    }
+    const auto next = reread_();
+    if (!next)
+    {
+        // A file that is being written; what is in force stays.
+        if (settings_fault_ != next.error().message)
+        {
+            settings_fault_ = next.error().message;
+            core_.log.line("settings_unreadable", {{"because", settings_fault_}});
+        }
+        return;
+    }
+    settings_fault_.clear();
+    const auto change = apply_settings(core_.options, next.value());
+    if (!change.any())
+    {
+        return;
+    }
+    core_.retries.set_options(core_.options.retries);
+    core_.shares.set_window(core_.options.share_window);
+    platform_.move_store(core_.options.store);
+    core_.log.line(
+        "reload",
+        {{"because", because}, {"applied", change.applied}, {"need_restart", change.need_restart}});
+}
+
 void daemon::stop()
 {
     if (is_stopping())
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -14,12 +14,15 @@
 {
 public:
     daemon(boost::asio::io_context& loop, const base::clock& clock, settings options,
-           caller_protocol protocol, platform_port platform, telemetry::line_log& log);
+           caller_protocol protocol, platform_port platform, telemetry::line_log& log,
+           settings_source reread = nullptr);
 
     /// Opens all addresses. Errors: one is taken or isn't this machine's.
     base::result<void> start();
     /// A planned stop: callers are led away, what is in flight ends, then the loop.
     void stop();
+    /// Takes over what changed in the settings since they were last read.
+    void reload(std::string_view because);
 
     /// Where it listens, once started.
     const settings& options() const
@@ -72,6 +75,9 @@
 
     core core_;
     platform_port platform_;
+    settings_source reread_;
+    /// The last complaint about them, which isn't repeated at each reading.
+    std::string settings_fault_;
     std::uint64_t life_;
     std::uint64_t digests_ = 0;
     routing::peer_table peers_;
@@ -92,6 +98,7 @@
     std::optional<base::time_point> stopping_since_;
     base::time_point last_tick_{};
     base::time_point next_sweep_{};
+    base::time_point next_reload_{};
     base::time_point next_ask_{};
     base::time_point next_own_row_{};
     base::time_point next_routers_read_{};
--- a/src/libcaraway/router/ports.hpp
+++ b/src/libcaraway/router/ports.hpp
@@ -98,6 +98,8 @@
     table_port configurations;
     table_port upstreams;
     table_port routers;
+    /// The store has moved; calls from now on go there.
+    std::function<void(const routing::endpoint&)> move_store;
     /// The key of the row that holds the accepted configuration.
     std::string configuration_key;
     std::function<base::result<routing::configuration>(const std::string&)> decode_configuration;
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -96,6 +96,8 @@
                                    const auto facts = core_.protocol.read_answer(head);
                                    return !facts.request || *facts.request == facts_.id;
                                });
+    attempt_->last_sign = now;
+    watch_silence(*attempt_);
 }
 
 http::call_events request_session::events_of(const std::shared_ptr<attempt>& of)
@@ -138,6 +140,7 @@
 
 void request_session::relay_events(attempt& of)
 {
+    of.last_sign = core_.now();
     std::string ready;
     while (const auto event = of.events.next())
     {
@@ -299,6 +302,7 @@
     }
     const auto last = std::move(attempt_);
     attempt_.reset();
+    core_.timers.cancel(last->silence_timer);
     core_.board.end(last->place.where.id, last->place.load);
     // A call that ended well has given its connection back; any other may still bring bytes.
     if (last->connection)
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -33,6 +33,8 @@
         http::event_splitter events;
         bool streams = false;
         bool prompt_read = false;
+        base::time_point last_sign{};
+        http::timer_queue::handle silence_timer;
     };
 
     bool find_route();
@@ -47,6 +49,10 @@
     void on_end(attempt& of);
     void on_failed(attempt& of, http::call_failure why);
     void relay_events(attempt& of);
+    void watch_silence(attempt& of);
+    void on_silence_timer();
+    /// Without a sign of life for so long an upstream is taken for dead.
+    std::chrono::milliseconds longest_silence() const;
     void begin_answer(const attempt& of);
 
     void attempt_ended(routing::attempt_end how);
--- a/src/libcaraway/router/settings.hpp
+++ b/src/libcaraway/router/settings.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "libcaraway/base/error.hpp"
 #include "libcaraway/base/ids.hpp"
 #include "libcaraway/routing/retry_ledger.hpp"
 #include "libcaraway/routing/upstream_directory.hpp"
 
 #include <chrono>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -37,4 +39,7 @@
     double capacity = 1;
 };
 
+/// Reads the settings anew, from wherever they came at the start.
+using settings_source = std::function<base::result<settings>()>;
+
 }  // namespace caraway::router
--- a/src/libcaraway/routing/retry_ledger.hpp
+++ b/src/libcaraway/routing/retry_ledger.hpp
@@ -19,6 +19,8 @@
     /// What a router spends of its part. The rest covers what it can't see: windows that begin
     /// between its own counts, and routers that count a dead peer's part twice.
     double spend = 0.6;
+
+    friend bool operator==(const retry_options&, const retry_options&) = default;
 };
 
 /// One router's part of the fleet-wide retry budget. Each router keeps to `ratio` of the requests
--- a/tests/users_platform/router_fixture.cpp
+++ b/tests/users_platform/router_fixture.cpp
@@ -15,17 +15,12 @@
 
 json route_json(const route_spec& of)
 {
-    return {{"name", "route " + of.prefix},
-            {"hostname", "app.example"},
-            {"prefix", of.prefix},
-            {"route_type", of.kind},
-            {"timeout_ms", of.timeout_ms},
-            {"target_latency_ms", 500},
-            {"priority", 1},
-            {"backend", of.service},
-            {"max_attempts", of.max_attempts},
-            {"anonymous", of.anonymous},
-            {"session_affinity", of.kind == "streaming"},
+    return {{"name", "route " + of.prefix}, {"hostname", "app.example"},
+            {"prefix", of.prefix},          {"route_type", of.kind},
+            {"timeout_ms", of.timeout_ms},  {"target_latency_ms", 500},
+            {"gap_target_ms", 250},         {"priority", 1},
+            {"backend", of.service},        {"max_attempts", of.max_attempts},
+            {"anonymous", of.anonymous},    {"session_affinity", of.kind == "streaming"},
             {"stream_resume", of.resumable}};
 }
 
@@ -99,9 +94,10 @@
                                    .seeds = seeds,
                                    .retries = {.ratio = 0.2, .slack = 50},
                                    .grace = std::chrono::milliseconds(4000)};
-    routers.push_back(
-        std::make_unique<router::daemon>(loop, clock, options, platform::caller_protocol(),
-                                         platform::make_port(loop, timers, at.address()), log));
+    changed_settings = options;
+    routers.push_back(std::make_unique<router::daemon>(
+        loop, clock, options, platform::caller_protocol(),
+        platform::make_port(loop, timers, at.address()), log, [this] { return changed_settings; }));
     auto& started = *routers.back();
     BOOST_REQUIRE(started.start().has_value());
     if (wait)
--- a/tests/users_platform/router_fixture.hpp
+++ b/tests/users_platform/router_fixture.hpp
@@ -56,6 +56,8 @@
     std::vector<std::string> lines;
     caraway::telemetry::line_log log;
     std::vector<caraway::routing::endpoint> seeds;
+    /// What routers read anew: at first the settings of the router started last.
+    caraway::base::result<caraway::router::settings> changed_settings{caraway::router::settings{}};
     std::vector<std::unique_ptr<caraway::router::daemon>> routers;
 };
 
--- a/tests/users_platform/test_requests.cpp
+++ b/tests/users_platform/test_requests.cpp
@@ -364,4 +364,65 @@
     BOOST_TEST(runs() == 2);
 }
 
+// Symptom: streams hung until their callers left, though other runners were free.
+// Sequence: a runner's machine lost power in the middle of a stream, so no reset came.
+// Cause: only a broken connection made the router look for another runner.
+BOOST_AUTO_TEST_CASE(a_stream_whose_runner_falls_silent_goes_on_at_another)
+{
+    auto& router = serve({.prefix = "/s/",
+                          .kind = "streaming",
+                          .service = "engines",
+                          .max_attempts = 2,
+                          .resumable = true},
+                         true);
+    bool silent = false;
+    const auto act = [&](stand_in_runner& runner, const run& of)
+    {
+        runner.begin_stream(of);
+        if (!silent)
+        {
+            silent = true;
+            runner.event(of, 1);
+            return;
+        }
+        runner.event(of, 2);
+        of.exchange->finish();
+    };
+    first.next.push_back(act);
+    second.next.push_back(act);
+    const auto end = ask(router, "/s/", "id-1", engine_fields);
+
+    BOOST_TEST(becomes_true([&] { return end->heard.ends_with("0\r\n\r\n"); }));
+    BOOST_TEST(http_tests::count_of(end->heard, "id: 1\n") == 1);
+    BOOST_TEST(http_tests::count_of(end->heard, "id: 2\n") == 1);
+    BOOST_TEST(runs() == 2);
+}
+
+// Symptom: an answer that was only slow was ended by the router.
+// Sequence: a runner paused for longer than is usual; no other could go on.
+BOOST_AUTO_TEST_CASE(a_silent_stream_that_nobody_can_go_on_with_is_left_alone)
+{
+    auto& router = serve({.prefix = "/s/",
+                          .kind = "streaming",
+                          .service = "engines",
+                          .max_attempts = 2,
+                          .resumable = true});
+    first.next.push_back(
+        [](stand_in_runner& runner, const run& of)
+        {
+            runner.begin_stream(of);
+            runner.event(of, 1);
+        });
+    const auto end = ask(router, "/s/", "id-1", engine_fields);
+    BOOST_REQUIRE(becomes_true([&] { return end->heard.find("id: 1\n") != std::string::npos; }));
+    const auto until = clock.now() + std::chrono::milliseconds(1300);
+    BOOST_REQUIRE(becomes_true([&] { return clock.now() > until; }));
+
+    first.event(first.runs.at(0), 2);
+    first.runs.at(0).exchange->finish();
+
+    BOOST_TEST(becomes_true([&] { return end->heard.ends_with("0\r\n\r\n"); }));
+    BOOST_TEST(runs() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
