Router: a request takes less of the processor

Cause: with 60 upstreams a router spent 216,000 instructions from a request's head to its sending, a quarter of all in Boost.Algorithm's iequals, which asks a locale for each character; 6,500 an event went to exchange::write, half of that copying chunks byte by byte; a log line copied each of its fields. Ruled out: system calls (four an event: epoll_wait, epoll_ctl, recv, sendmsg) can't be made fewer with this library without a buffer for each connection. Change: field names compare by Beast's iequals; chunks by buffers_to_string; two JSON objects written as one; load looked up once a candidate.

--- a/src/libcaraway/http/exchange.cpp
+++ b/src/libcaraway/http/exchange.cpp
@@ -1,7 +1,7 @@
 #include "libcaraway/http/server_connection.hpp"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/buffers_iterator.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 
 namespace caraway::http
@@ -10,11 +10,7 @@
 namespace
 {
 
-template <class Buffers>
-std::string text_of(const Buffers& buffers)
-{
-    return {boost::asio::buffers_begin(buffers), boost::asio::buffers_end(buffers)};
-}
+using boost::beast::buffers_to_string;
 
 }  // namespace
 
@@ -69,7 +65,7 @@
     const boost::asio::const_buffer bytes(part.data(), part.size());
     if (chunked_)
     {
-        connection_->send(text_of(boost::beast::http::make_chunk(bytes)));
+        connection_->send(buffers_to_string(boost::beast::http::make_chunk(bytes)));
     }
     else
     {
@@ -87,7 +83,7 @@
     set_ended();
     if (chunked_)
     {
-        connection_->send(text_of(boost::beast::http::make_chunk_last()));
+        connection_->send(buffers_to_string(boost::beast::http::make_chunk_last()));
     }
     // Without chunks only the connection's end tells the caller that the answer is whole.
     connection_->answer_ended(chunked_);
--- a/src/libcaraway/http/server_connection.cpp
+++ b/src/libcaraway/http/server_connection.cpp
@@ -4,12 +4,11 @@
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/serializer.hpp>
 
-#include <boost/algorithm/string/predicate.hpp>
-
 #include <algorithm>
 
 namespace caraway::http
@@ -53,7 +52,7 @@
     if (encodings == 1)
     {
         return head.version() >= 11 &&
-               boost::algorithm::iequals(std::string(head[field::transfer_encoding]), "chunked");
+               boost::beast::iequals(head[field::transfer_encoding], "chunked");
     }
     return true;
 }
@@ -224,7 +223,7 @@
         reject(status::bad_request);
         return;
     }
-    if (boost::algorithm::iequals(std::string((*head_)[field::expect]), "100-continue"))
+    if (boost::beast::iequals((*head_)[field::expect], "100-continue"))
     {
         send("HTTP/1.1 100 Continue\r\n\r\n");
         flush();
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -150,14 +150,15 @@
         {
             continue;
         }
-        auto there = at(*each, request, cached, board);
+        const auto total = board.total(each->id);
+        auto there = at(*each, request, cached, total);
         if (!there)
         {
             continue;
         }
         const double repeated =
             (shared_tokens(request) - cached) * (second_home ? options_.second_home : 1.0);
-        const double costs = cost(*each, request, *there, repeated, board.total(each->id).running);
+        const double costs = cost(*each, request, *there, repeated, total.running);
         if (costs < lowest)
         {
             lowest = costs;
@@ -206,9 +207,8 @@
 }
 
 std::optional<placement> placer::at(const upstream& where, const placement_request& request,
-                                    std::uint32_t cached, const load_board& board) const
+                                    std::uint32_t cached, const upstream_load& total) const
 {
-    const auto total = board.total(where.id);
     if (!request.of->engine)
     {
         const auto places = static_cast<std::uint32_t>(options_.plain_depth * where.slots);
--- a/src/libcaraway/routing/placer.hpp
+++ b/src/libcaraway/routing/placer.hpp
@@ -94,7 +94,7 @@
                                 const std::vector<std::uint64_t>& chain, std::size_t home_depth,
                                 base::time_point now) const;
     std::optional<placement> at(const upstream& where, const placement_request& request,
-                                std::uint32_t cached, const load_board& board) const;
+                                std::uint32_t cached, const upstream_load& total) const;
     double cost(const upstream& where, const placement_request& request, const placement& there,
                 double read_again, std::uint32_t running) const;
 
--- a/src/libcaraway/telemetry/line_log.cpp
+++ b/src/libcaraway/telemetry/line_log.cpp
@@ -9,6 +9,16 @@
 namespace caraway::telemetry
 {
 
+namespace
+{
+
+std::string to_text(const nlohmann::ordered_json& object)
+{
+    return object.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+}  // namespace
+
 line_log::line_log(const base::clock& clock, sink out, log_options options)
     : clock_(clock), out_(std::move(out)), options_(options), allowance_(options.burst),
       refilled_(clock.now())
@@ -57,10 +67,15 @@
 {
     const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
         clock_.wall_time().time_since_epoch());
-    nlohmann::ordered_json all{{"at", wall.count()}, {"event", event}};
-    all.update(fields);
-    const auto text =
-        all.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace) + "\n";
+    const nlohmann::ordered_json first{{"at", wall.count()}, {"event", event}};
+    auto text = to_text(first);
+    if (!fields.empty())
+    {
+        // Two objects written as one: to merge them copied each field, a third of a line's cost.
+        text.back() = ',';
+        text.append(to_text(fields), 1);
+    }
+    text += '\n';
     waiting_ += text;
     bytes_ += text.size();
     ++written_;
