--- a/src/libcaraway/http/listener.cpp
+++ b/src/libcaraway/http/listener.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds accept_pause{50};
 /// Idle connections closed, the oldest first, when a new one finds no room.
 constexpr std::size_t closed_at_a_time = 32;
+/// Connections taken in one turn of the event loop, so that those that are open get theirs.
+constexpr std::size_t accepted_at_a_time = 64;
 /// Closed connections that may still be listed; they are a pointer each.
 constexpr std::size_t slack_of_dead = 64;
 
@@ -44,6 +46,7 @@
     if (!error)
     {
         acceptor_.listen(tcp::acceptor::max_listen_connections, error);
+        acceptor_.non_blocking(true, error);
     }
     if (error)
     {
@@ -104,26 +107,51 @@
                 timers_.after(accept_pause, [this] { accept(); });
                 return;
             }
-            if (*open_ >= max_connections_)
-            {
-                make_room();
-            }
-            if (connections_.size() > 2 * *open_ + slack_of_dead)
-            {
-                drop_dead();
-            }
-            // Beyond the limit a connection is closed unread: its caller knows that nothing ran.
-            if (*open_ < max_connections_)
-            {
-                const auto connection = std::make_shared<server_connection>(
-                    std::move(socket), timers_, limits_, on_request_, open_);
-                connections_.push_back(connection);
-                connection->start();
-            }
+            take(std::move(socket));
+            accept_waiting();
             accept();
         });
 }
 
+/// The event loop hands out one connection a turn, and a busy turn takes some milliseconds: at 500
+/// connections a second callers waited in the queue of the listening socket for more than a second
+/// and left, while the process had time for them.
+void listener::accept_waiting()
+{
+    boost::system::error_code error;
+    for (std::size_t count = 0; count < accepted_at_a_time; ++count)
+    {
+        tcp::socket socket(acceptor_.get_executor());
+        acceptor_.accept(socket, error);
+        if (error)
+        {
+            return;
+        }
+        take(std::move(socket));
+    }
+}
+
+void listener::take(tcp::socket socket)
+{
+    if (*open_ >= max_connections_)
+    {
+        make_room();
+    }
+    if (connections_.size() > 2 * *open_ + slack_of_dead)
+    {
+        drop_dead();
+    }
+    // Beyond the limit a connection is closed unread: its caller knows that nothing ran.
+    if (*open_ >= max_connections_)
+    {
+        return;
+    }
+    const auto connection = std::make_shared<server_connection>(std::move(socket), timers_, limits_,
+                                                                on_request_, open_);
+    connections_.push_back(connection);
+    connection->start();
+}
+
 void listener::make_room()
 {
     std::size_t closed = 0;
--- a/src/libcaraway/http/listener.hpp
+++ b/src/libcaraway/http/listener.hpp
@@ -41,6 +41,8 @@
 
 private:
     void accept();
+    void accept_waiting();
+    void take(boost::asio::ip::tcp::socket socket);
     void drop_dead();
     void make_room();
 
