Routing: a router takes no more streams than its event loop keeps up with

Cause: with all connections taken, a VM of 0.12 cores that a workspace's callers flood with 500 to 1,000 requests a second has each of them wait in the event loop (timers 50 to 150 ms late) until its caller leaves. Ruled out: the process's own processor clock as the measure (it counts waiting for the VM's share too: 100 ms in 100). While busy, whether a caller is still there is looked at before its request is handed on.

--- a/src/libcaraway/http/server_connection.hpp
+++ b/src/libcaraway/http/server_connection.hpp
@@ -29,6 +29,9 @@
     std::chrono::seconds keep_alive{15};
     /// Answers say that the connection closes after them.
     bool closing = false;
+    /// Requests are read late: whether their callers are still there is looked at before they are
+    /// handed out, at the price of one more call to the system for each.
+    bool busy = false;
 };
 
 /// One request and the answer to it. The answer is whole or the connection ends: `finish` is the
@@ -111,6 +114,7 @@
     void begin_request();
     void read();
     void on_readable(const boost::system::error_code& error);
+    bool has_left();
     void parse();
     void parse_buffer();
     void on_head();
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -7,6 +7,7 @@
 #include "libcaraway/router/settings.hpp"
 #include "libcaraway/routing/crash_watch.hpp"
 #include "libcaraway/routing/load_board.hpp"
+#include "libcaraway/routing/overload_guard.hpp"
 #include "libcaraway/routing/peer_table.hpp"
 #include "libcaraway/routing/placer.hpp"
 #include "libcaraway/routing/retry_ledger.hpp"
@@ -87,6 +88,9 @@
     routing::waiting_line line;
     routing::retry_ledger retries;
     routing::crash_watch crashes;
+    routing::overload_guard overload;
+    /// Requests for engines under way: what a router's processor is spent on.
+    std::size_t streams = 0;
     routing::placer placer;
     scheduling::scheduler_options health_options;
     scheduling::upstream_health health;
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -110,7 +110,8 @@
     const auto limits = [this]
     {
         http::server_limits out{.keep_alive = keep_alive_at(callers_->pressure()),
-                                .closing = is_stopping()};
+                                .closing = is_stopping(),
+                                .busy = core_.overload.busy()};
         if (const auto table = core_.table())
         {
             const auto& from = table->accepted().limits;
@@ -170,7 +171,7 @@
 void daemon::tick()
 {
     const auto now = core_.now();
-    notice_suspension(now);
+    notice_lateness(now);
     core_.board.drop_old_peers(now, peers_.period() * lost_digests);
     if (now >= next_rate_)
     {
@@ -209,15 +210,27 @@
     core_.timers.after(tick_period, [this] { tick(); });
 }
 
-void daemon::notice_suspension(base::time_point now)
+void daemon::notice_lateness(base::time_point now)
 {
-    const auto late = now - last_tick_;
-    if (last_tick_ != base::time_point{} && late > suspended_after)
+    const auto since = milliseconds_of(now - last_tick_);
+    const bool first = last_tick_ == base::time_point{};
+    last_tick_ = now;
+    if (first)
     {
-        core_.log.line("stood_still",
-                       {{"for_ms", std::chrono::duration_cast<milliseconds>(late).count()}});
+        return;
+    }
+    if (since > suspended_after)
+    {
+        core_.log.line("stood_still", {{"for_ms", since.count()}});
+    }
+    const bool was_busy = core_.overload.busy();
+    core_.overload.note_tick(since - tick_period, core_.streams);
+    if (was_busy != core_.overload.busy())
+    {
+        core_.log.line("overload", {{"busy", !was_busy},
+                                    {"late_ms", (since - tick_period).count()},
+                                    {"streams", core_.streams}});
     }
-    last_tick_ = now;
 }
 
 void daemon::reload(std::string_view because)
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -46,7 +46,7 @@
     void watch_signals();
 
     void tick();
-    void notice_suspension(base::time_point now);
+    void notice_lateness(base::time_point now);
     void ask_peers(base::time_point now);
     void tell_store(base::time_point now);
     void progress_stop(base::time_point now);
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -65,6 +65,10 @@
         return;
     }
     count_arrival();
+    if (!enter())
+    {
+        return;
+    }
     deadline_timer_ = core_.timers.at(deadline_,
                                       [weak = weak_from_this()]
                                       {
@@ -122,6 +126,22 @@
     }
 }
 
+bool request_session::enter()
+{
+    if (!service_->engine)
+    {
+        return true;
+    }
+    if (!core_.overload.admits(core_.streams))
+    {
+        refuse("router_busy");
+        return false;
+    }
+    ++core_.streams;
+    admitted_ = true;
+    return true;
+}
+
 void request_session::look_for_place()
 {
     if (crashes_upstreams())
@@ -235,6 +255,7 @@
         return;
     }
     ended_ = true;
+    core_.streams -= admitted_ ? 1 : 0;
     core_.timers.cancel(deadline_timer_);
     if (ticket_)
     {
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -40,6 +40,8 @@
     bool find_route();
     bool find_workspace();
     void count_arrival();
+    /// Counts it among those under way; or refuses it, as this router can't carry one more.
+    bool enter();
     void look_for_place();
 
     void send(routing::placement place);
@@ -99,6 +101,7 @@
     std::uint32_t unreachable_ = 0;
     bool may_have_run_ = false;
     bool counted_ = false;
+    bool admitted_ = false;
     bool begun_ = false;
     bool ended_ = false;
     std::optional<std::uint64_t> last_event_;
--- a/tests/http/test_server_connection.cpp
+++ b/tests/http/test_server_connection.cpp
@@ -280,4 +280,39 @@
     BOOST_TEST(becomes_true([&] { return end->heard.starts_with("HTTP/1.1 408"); }));
 }
 
+// Symptom: callers waited for a second in the queue of the listening socket, and left.
+// Sequence: hundreds of new connections a second came to a busy router.
+// Cause: each turn of its event loop, some milliseconds long, took one of them.
+BOOST_AUTO_TEST_CASE(a_turn_of_the_loop_takes_all_connections_that_wait)
+{
+    boost::asio::io_context callers;
+    std::vector<std::shared_ptr<http_tests::raw_end>> ends;
+    for (int count = 0; count < 40; ++count)
+    {
+        ends.push_back(connect_to(callers, listener.port()));
+    }
+
+    loop.restart();
+    loop.run_one_for(5s);
+
+    BOOST_TEST(listener.connections() == 40);
+}
+
+// Symptom: upstreams ran requests whose callers had left long before.
+// Sequence: a busy router read a request late; its caller's close lay behind it, unread.
+BOOST_AUTO_TEST_CASE(a_busy_listener_looks_whether_the_caller_is_still_there)
+{
+    limits.busy = true;
+    boost::asio::io_context elsewhere;
+    const auto end = connect_to(elsewhere, listener.port());
+    end->say(get);
+    end->close();
+    const auto other = caller();
+    other->say(get);
+
+    BOOST_TEST(becomes_true([&] { return !requests.empty(); }));
+    settle();
+    BOOST_TEST(requests.size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/routing/test_overload_guard.cpp
@@ -0,0 +1,101 @@
+#include "libcaraway/routing/overload_guard.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace caraway::routing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A VM whose loop gets later with each stream beyond what its processor carries; callers start
+/// `asked` streams a tick, each of which lasts ten.
+struct small_vm
+{
+    std::size_t carries = 0;
+    overload_guard guard{};
+    std::size_t under_way = 0;
+    std::size_t most_late_ms = 0;
+
+    void tick(std::size_t asked)
+    {
+        under_way -= under_way / 10;
+        for (std::size_t count = 0; count < asked && guard.admits(under_way); ++count)
+        {
+            ++under_way;
+        }
+        const auto beyond = under_way > carries ? under_way - carries : 0;
+        most_late_ms = std::max(most_late_ms, beyond);
+        guard.note_tick(std::chrono::milliseconds(3 + beyond), under_way);
+    }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(overload_guards)
+
+// Symptom: all callers of a small VM left before their answers came; it was busy all the while.
+// Sequence: one workspace's callers held on to it and asked four times what it could pass on.
+// Cause: it took all requests, so each waited for a second in its event loop.
+BOOST_AUTO_TEST_CASE(a_flooded_router_takes_what_it_can_carry)
+{
+    small_vm vm{.carries = 100};
+    for (int tick = 0; tick < 100; ++tick)
+    {
+        vm.tick(40);
+    }
+    vm.most_late_ms = 0;
+    std::size_t least = vm.under_way;
+    for (int tick = 0; tick < 300; ++tick)
+    {
+        vm.tick(40);
+        least = std::min(least, vm.under_way);
+    }
+
+    BOOST_TEST(vm.guard.busy());
+    BOOST_TEST(vm.most_late_ms <= 50);
+    BOOST_TEST(least >= 75);
+}
+
+BOOST_AUTO_TEST_CASE(a_router_that_keeps_up_takes_all)
+{
+    small_vm vm{.carries = 1000};
+    for (int tick = 0; tick < 100; ++tick)
+    {
+        vm.tick(40);
+    }
+
+    BOOST_TEST(!vm.guard.busy());
+}
+
+// Symptom: callers were refused after a VM had been suspended, or a large configuration had come.
+BOOST_AUTO_TEST_CASE(one_late_tick_or_a_suspension_is_no_overload)
+{
+    overload_guard guard;
+    guard.note_tick(60ms, 50);
+    guard.note_tick(2ms, 50);
+    guard.note_tick(4000ms, 50);
+    guard.note_tick(60ms, 50);
+
+    BOOST_TEST(guard.admits(1000));
+}
+
+BOOST_AUTO_TEST_CASE(the_limit_goes_when_the_flood_has_passed)
+{
+    small_vm vm{.carries = 100};
+    for (int tick = 0; tick < 100; ++tick)
+    {
+        vm.tick(40);
+    }
+    BOOST_TEST(vm.guard.busy());
+    for (int tick = 0; tick < 100; ++tick)
+    {
+        vm.tick(3);
+    }
+
+    BOOST_TEST(!vm.guard.busy());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
