Telemetry: a line that would be dropped isn't put together

Cause: a flooded router refuses over 1,000 requests a second and may log 250 lines; each line was put together (some 25,000 instructions) before it was dropped. Ruled out: a change of lines_per_second, which bounds what operators must read. Change: line_log::takes_line, asked before a request's line is built.

--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -262,6 +262,25 @@
         core_.stop_waiting(*ticket_);
         ticket_.reset();
     }
+    core_.metrics
+        .counter({.name = "caraway_requests_total", .help = "Requests ended, by outcome."},
+                 {{"outcome", std::string(outcome)},
+                  {"status", std::to_string(status)},
+                  {"reason", std::string(reason.substr(0, 24))}})
+        .add();
+    core_.metrics
+        .histogram({.name = "caraway_request_seconds",
+                    .help = "Time from a request's first byte to its end, in seconds."},
+                   {{"outcome", std::string(outcome)}})
+        .observe(core_.now() - request_->arrived());
+    if (core_.log.takes_line())
+    {
+        log_end(outcome, status, reason);
+    }
+}
+
+void request_session::log_end(std::string_view outcome, unsigned status, std::string_view reason)
+{
     const auto now = core_.now();
     nlohmann::ordered_json line{{"request", facts_.id.str()},
                                 {"outcome", outcome},
@@ -289,17 +308,6 @@
     {
         line["first_ms"] = milliseconds_of(first_piece_ - request_->arrived()).count();
     }
-    core_.metrics
-        .counter({.name = "caraway_requests_total", .help = "Requests ended, by outcome."},
-                 {{"outcome", std::string(outcome)},
-                  {"status", std::to_string(status)},
-                  {"reason", std::string(reason.substr(0, 24))}})
-        .add();
-    core_.metrics
-        .histogram({.name = "caraway_request_seconds",
-                    .help = "Time from a request's first byte to its end, in seconds."},
-                   {{"outcome", std::string(outcome)}})
-        .observe(now - request_->arrived());
     core_.log.line("request", line);
 }
 
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -69,6 +69,7 @@
                 std::optional<std::chrono::milliseconds> come_back = std::nullopt);
     void break_off(std::string_view reason);
     void end(std::string_view outcome, unsigned status, std::string_view reason);
+    void log_end(std::string_view outcome, unsigned status, std::string_view reason);
     void on_deadline();
     void on_gone();
 
--- a/src/libcaraway/telemetry/line_log.cpp
+++ b/src/libcaraway/telemetry/line_log.cpp
@@ -35,6 +35,17 @@
     append(event, fields);
 }
 
+bool line_log::takes_line()
+{
+    refill();
+    if (has_room())
+    {
+        return true;
+    }
+    ++dropped_;
+    return false;
+}
+
 void line_log::flush()
 {
     if (dropped_ > reported_ && waiting_.size() < options_.max_waiting / 2)
@@ -51,11 +62,8 @@
 
 bool line_log::admit()
 {
-    const auto now = clock_.now();
-    const double seconds = std::chrono::duration<double>(now - refilled_).count();
-    allowance_ = std::min(options_.burst, allowance_ + seconds * options_.lines_per_second);
-    refilled_ = now;
-    if (allowance_ < 1 || waiting_.size() >= options_.max_waiting)
+    refill();
+    if (!has_room())
     {
         return false;
     }
@@ -63,6 +71,19 @@
     return true;
 }
 
+void line_log::refill()
+{
+    const auto now = clock_.now();
+    const double seconds = std::chrono::duration<double>(now - refilled_).count();
+    allowance_ = std::min(options_.burst, allowance_ + seconds * options_.lines_per_second);
+    refilled_ = now;
+}
+
+bool line_log::has_room() const
+{
+    return allowance_ >= 1 && waiting_.size() < options_.max_waiting;
+}
+
 void line_log::append(std::string_view event, const nlohmann::ordered_json& fields)
 {
     const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/libcaraway/telemetry/line_log.hpp
+++ b/src/libcaraway/telemetry/line_log.hpp
@@ -33,6 +33,10 @@
 
     line_log(const base::clock& clock, sink out, log_options options = {});
 
+    /// Whether a line would be taken now; if not, it counts as dropped. Asked before a line that
+    /// costs something is put together: a router that refuses hundreds of requests a second else
+    /// spends more on lines that are dropped than on the refusals.
+    bool takes_line();
     void line(std::string_view event,
               const nlohmann::ordered_json& fields = nlohmann::ordered_json::object());
     /// Hands what waits to the sink. Called many times a second, so that lines are written
@@ -54,6 +58,8 @@
 
 private:
     bool admit();
+    void refill();
+    bool has_room() const;
     void append(std::string_view event, const nlohmann::ordered_json& fields);
 
     const base::clock& clock_;
