Router: large fleets ask for upstreams within 0.6 of the time that a leaving one serves

Cause: at 81 to 86 routers each asked every 1.2 s, whatever the deployment allows; calls to the store cost most there. Ruled out for now: a few routers that ask for all (needs changes told by datagram; a table's copy is some 20 KB).

--- a/src/libcaraway/router/daemon_tables.cpp
+++ b/src/libcaraway/router/daemon_tables.cpp
@@ -21,10 +21,11 @@
 constexpr milliseconds upstreams_hold{1500};
 constexpr milliseconds configuration_hold{1500};
 /// Routers from which on each asks the store less often. A new configuration still arrives at once,
-/// and the digests of those that have it tell the rest; upstreams must be followed within their
-/// draining time, 2 to 3 s.
+/// and the digests of those that have it tell the rest. Upstreams must be followed within the time
+/// that a leaving one still serves (2 to 3 s): the rest of it is for the call itself and for
+/// requests that are on their way.
 constexpr std::size_t paced_from = 20;
-constexpr milliseconds longest_gap{1200};
+constexpr double gap_of_notice = 0.6;
 constexpr milliseconds longest_hold{6000};
 /// Of what an upstream accepts, the part that all routers together keep open idle.
 constexpr double idle_share = 0.6;
@@ -138,6 +139,8 @@
     const auto routers = peers_.size() + 1;
     core_.retries.set_routers(routers);
     const auto pace = static_cast<int>(1 + routers / paced_from);
+    const auto notice = static_cast<double>(core_.options.leaving_notice.count());
+    const milliseconds longest_gap(static_cast<std::int64_t>(gap_of_notice * notice));
     upstreams_->set_pace(std::min(upstreams_gap * pace, longest_gap), upstreams_hold);
     configurations_->set_pace({}, std::min(configuration_hold * pace, longest_hold));
     const auto table = core_.table();
--- a/src/libcaraway/router/settings.hpp
+++ b/src/libcaraway/router/settings.hpp
@@ -32,6 +32,8 @@
     std::chrono::milliseconds share_window{4000};
     /// From SIGTERM to SIGKILL.
     std::chrono::milliseconds grace{8000};
+    /// How long an upstream that leaves goes on serving: within this a router must know of it.
+    std::chrono::milliseconds leaving_notice{2000};
     /// How long callers keep a list of routers, and the longest that some keep it.
     std::chrono::seconds entry_lifetime{1};
     std::size_t max_descriptors = 4096;
--- a/src/libcaraway/router/settings_change.cpp
+++ b/src/libcaraway/router/settings_change.cpp
@@ -44,6 +44,7 @@
     take(current.retries, next.retries, "retries");
     take(current.share_window, next.share_window, "share_window");
     take(current.grace, next.grace, "grace");
+    take(current.leaving_notice, next.leaving_notice, "leaving_notice");
     take(current.entry_lifetime, next.entry_lifetime, "entry_lifetime");
     take(current.capacity, next.capacity, "capacity");
     return change;
