Router, Tests: a request is hashed once; one route for all tests of resumable streams

Cause: while requests are suspected of crashing upstreams, each request's body was hashed on arrival and again at its end; four tests of streams wrote out the same route. Ruled out: one file for the tests of streams (their fixture would move to a header; left). Change: request_session keeps its fingerprint once it is asked for; resumable_stream in test_requests.cpp. Nothing that callers see changes; assertions are as they were.

--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -280,15 +280,20 @@
     return static_cast<std::uint32_t>(usual_output * facts_.max_output_tokens);
 }
 
-attempts::request_fingerprint request_session::fingerprint() const
+attempts::request_fingerprint request_session::fingerprint()
 {
+    if (fingerprint_)
+    {
+        return *fingerprint_;
+    }
     const auto body = scheduling::stable_hash(request_->body());
     const auto what = std::string(request_->head().method_string()) + ' ' +
                       std::string(request_->head().target()) + ' ' + std::to_string(body);
-    return attempts::fingerprint_of(account_, service_->id, what);
+    fingerprint_ = attempts::fingerprint_of(account_, service_->id, what);
+    return *fingerprint_;
 }
 
-bool request_session::crashes_upstreams() const
+bool request_session::crashes_upstreams()
 {
     return core_.crashes.has_suspects() && core_.crashes.refuses(fingerprint(), core_.now());
 }
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -77,9 +77,9 @@
     http::response_head head_for_caller(const http::response_head& from) const;
     bool is_idempotent() const;
     /// By which it is known again when its caller sends it once more, at whichever router.
-    attempts::request_fingerprint fingerprint() const;
+    attempts::request_fingerprint fingerprint();
     /// Upstreams crashed under it, at this router or others, so that no more may run it.
-    bool crashes_upstreams() const;
+    bool crashes_upstreams();
     double fill() const;
     routing::standing standing() const;
     double tokens() const;
@@ -106,6 +106,8 @@
     bool admitted_ = false;
     bool begun_ = false;
     bool ended_ = false;
+    /// Hashed when it is first asked for, as few requests need it.
+    std::optional<attempts::request_fingerprint> fingerprint_;
     std::optional<std::uint64_t> last_event_;
     base::time_point first_piece_{};
 };
--- a/tests/users_platform/test_requests.cpp
+++ b/tests/users_platform/test_requests.cpp
@@ -236,6 +236,11 @@
 
 BOOST_FIXTURE_TEST_SUITE(streams, request_fixture)
 
+const route_spec resumable_stream{.prefix = "/s/",
+                                  .kind = "streaming",
+                                  .service = "engines",
+                                  .max_attempts = 2,
+                                  .resumable = true};
 const std::string engine_fields =
     "Api-Key: key-1\r\nX-Model: m\r\nX-Token-Count: 100,40\r\nX-Prefix-Hash: aa:40,bb:60\r\n";
 
@@ -263,12 +268,7 @@
 // Sequence: a runner died in the middle of an event; another one went on.
 BOOST_AUTO_TEST_CASE(a_stream_that_breaks_off_goes_on_at_another_runner)
 {
-    auto& router = serve({.prefix = "/s/",
-                          .kind = "streaming",
-                          .service = "engines",
-                          .max_attempts = 2,
-                          .resumable = true},
-                         true);
+    auto& router = serve(resumable_stream, true);
     const auto break_off = [](stand_in_runner& runner, const run& of)
     {
         runner.begin_stream(of);
@@ -336,12 +336,7 @@
 
 BOOST_AUTO_TEST_CASE(a_stream_that_did_not_begin_is_sent_again_only_if_it_may_be_resumed)
 {
-    auto& router = serve({.prefix = "/s/",
-                          .kind = "streaming",
-                          .service = "engines",
-                          .max_attempts = 2,
-                          .resumable = true},
-                         true);
+    auto& router = serve(resumable_stream, true);
     bool failed = false;
     const auto act = [&](stand_in_runner& runner, const run& of)
     {
@@ -369,12 +364,7 @@
 // Cause: only a broken connection made the router look for another runner.
 BOOST_AUTO_TEST_CASE(a_stream_whose_runner_falls_silent_goes_on_at_another)
 {
-    auto& router = serve({.prefix = "/s/",
-                          .kind = "streaming",
-                          .service = "engines",
-                          .max_attempts = 2,
-                          .resumable = true},
-                         true);
+    auto& router = serve(resumable_stream, true);
     bool silent = false;
     const auto act = [&](stand_in_runner& runner, const run& of)
     {
@@ -402,11 +392,7 @@
 // Sequence: a runner paused for longer than is usual; no other could go on.
 BOOST_AUTO_TEST_CASE(a_silent_stream_that_nobody_can_go_on_with_is_left_alone)
 {
-    auto& router = serve({.prefix = "/s/",
-                          .kind = "streaming",
-                          .service = "engines",
-                          .max_attempts = 2,
-                          .resumable = true});
+    auto& router = serve(resumable_stream);
     first.next.push_back(
         [](stand_in_runner& runner, const run& of)
         {
