Router: an answered request's line says what placed it and its longest pause

Change: prompt, output, patience, and for placed ones wait, unread, running; the longest pause between pieces.

--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -80,6 +80,8 @@
     tried_.push_back(id);
     ++sent_;
     attempt_ = std::make_shared<attempt>();
+    sent_by_ = place;
+    sent_at_ = now;
     attempt_->place = std::move(place);
     attempt_->sent = now;
     attempt_->connection = core_.pool.take(id);
@@ -167,9 +169,20 @@
         of.place.load.unread_tokens = 0;
     }
     begin_answer(of);
+    note_pause();
     request_->write(ready);
 }
 
+void request_session::note_pause()
+{
+    const auto now = core_.now();
+    if (last_piece_ != base::time_point{})
+    {
+        longest_pause_ = std::max(longest_pause_, now - last_piece_);
+    }
+    last_piece_ = now;
+}
+
 void request_session::begin_answer(const attempt& of)
 {
     if (begun_)
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -126,9 +126,23 @@
     {
         line["upstream"] = tried_.back().str();
     }
+    if (service_ != nullptr && service_->engine)
+    {
+        line["prompt"] = facts_.prompt_tokens;
+        line["output"] = expected_output();
+        line["patience_ms"] = facts_.patience.value_or(milliseconds(0)).count();
+    }
+    if (sent_by_)
+    {
+        line["placed_ms"] = milliseconds_of(sent_at_ - request_->arrived()).count();
+        line["wait_ms"] = sent_by_->wait.count();
+        line["unread"] = sent_by_->load.unread_tokens;
+        line["running"] = sent_by_->running;
+    }
     if (begun_)
     {
         line["first_ms"] = milliseconds_of(first_piece_ - request_->arrived()).count();
+        line["pause_ms"] = milliseconds_of(longest_pause_).count();
     }
     core_.log.line("request", line);
 }
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -56,6 +56,7 @@
     /// Without a sign of life for so long an upstream is taken for dead.
     std::chrono::milliseconds longest_silence() const;
     void begin_answer(const attempt& of);
+    void note_pause();
 
     void attempt_ended(routing::attempt_end how);
     void release_attempt();
@@ -110,6 +111,12 @@
     std::optional<attempts::request_fingerprint> fingerprint_;
     std::optional<std::uint64_t> last_event_;
     base::time_point first_piece_{};
+    base::time_point last_piece_{};
+    /// Between two pieces, as they left for the caller.
+    base::duration longest_pause_{};
+    /// What was believed of the upstream that it was sent to last.
+    std::optional<routing::placement> sent_by_;
+    base::time_point sent_at_{};
 };
 
 }  // namespace caraway::router
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -237,7 +237,8 @@
     const auto unread = request.prompt_tokens - std::min(cached, request.prompt_tokens);
     return placement{.where = where,
                      .load = {.running = 1, .unread_tokens = unread, .held_tokens = needed},
-                     .wait = wait};
+                     .wait = wait,
+                     .running = total.running};
 }
 
 double placer::cost(const upstream& where, const placement_request& request, const placement& there,
--- a/src/libcaraway/routing/placer.hpp
+++ b/src/libcaraway/routing/placer.hpp
@@ -65,6 +65,8 @@
     upstream_load load;
     /// Wait behind the prompts that are before it.
     std::chrono::milliseconds wait{};
+    /// Requests believed to run there before it.
+    std::uint32_t running = 0;
 };
 
 /// Chooses the upstream where a request starts soonest, as far as the load board knows: waiting
