Routing: a request that comes back after a refusal stands behind its workspace's fresh ones

Hypothesis: of what flooding workspaces are served, a third comes back after a refusal and is late before it begins, at the cost of fresh requests that would be on time. First try, measured and not kept: returned ones not counted as asked.

--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -10,6 +10,7 @@
 #include "libcaraway/routing/overload_guard.hpp"
 #include "libcaraway/routing/peer_table.hpp"
 #include "libcaraway/routing/placer.hpp"
+#include "libcaraway/routing/refused_requests.hpp"
 #include "libcaraway/routing/retry_ledger.hpp"
 #include "libcaraway/routing/route_table.hpp"
 #include "libcaraway/routing/waiting_line.hpp"
@@ -88,6 +89,7 @@
     routing::waiting_line line;
     routing::retry_ledger retries;
     routing::crash_watch crashes;
+    routing::refused_requests refused;
     routing::overload_guard overload;
     /// Requests for engines under way: what a router's processor is spent on.
     std::size_t streams = 0;
--- a/src/libcaraway/router/daemon_tables.cpp
+++ b/src/libcaraway/router/daemon_tables.cpp
@@ -27,6 +27,8 @@
 constexpr std::size_t paced_from = 20;
 constexpr double gap_of_notice = 0.6;
 constexpr milliseconds longest_hold{6000};
+/// A refused request is told of in so many digests, as datagrams get lost.
+constexpr int told_digests = 2;
 /// Of what an upstream accepts, the part that all routers together keep open idle.
 constexpr double idle_share = 0.6;
 
@@ -296,7 +298,8 @@
             .store_held = std::chrono::duration_cast<milliseconds>(upstreams_->held(core_.now())),
             .loads = core_.board.own(),
             .usages = core_.shares.own(core_.now()),
-            .suspects = core_.crashes.entries(core_.now())};
+            .suspects = core_.crashes.entries(core_.now()),
+            .refused = core_.refused.told(told_digests * peers_.period(), core_.now())};
 }
 
 routing::peer daemon::self() const
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -45,7 +45,11 @@
 
 void request_session::refuse(std::string_view reason)
 {
-    const auto come_back = std::min(routing::retry_after(*route_, fill(), core_.draw()),
+    if (service_->engine)
+    {
+        core_.refused.add(mark(), core_.now());
+    }
+    const auto come_back = std::min(routing::retry_after(*route_, standing().fill, core_.draw()),
                                     std::max(milliseconds(0), time_left() / 3));
     answer(http::status::service_unavailable, reason, come_back);
 }
@@ -118,6 +122,7 @@
         line["workspace"] = account_.str();
         line["version"] = static_cast<std::uint64_t>(table_->accepted().version);
         line["sent"] = sent_;
+        line["returned"] = returned_;
         const auto of = standing();
         line["fill"] = hundredths(of.fill);
         line["ahead"] = hundredths(of.ahead);
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -107,10 +107,15 @@
 void request_session::count_arrival()
 {
     core_.retries.count_request(service_->id, core_.now());
-    if (service_->engine)
+    if (!service_->engine)
     {
-        core_.shares.count_asked(account_, tokens(), core_.now());
+        return;
     }
+    // Those that return count as asked again: the more are refused, the stricter the terms beyond
+    // shares. Left out, engines took a fifth more than they could do on time (worth 0.02 lower on
+    // three deployments, n 54).
+    returned_ = core_.refused.knows(mark(), core_.now());
+    core_.shares.count_asked(account_, tokens(), core_.now());
 }
 
 bool request_session::enter()
@@ -165,6 +170,7 @@
     const auto priority = workspace_ && workspace_->priority ? *workspace_->priority : 0;
     ticket_ = core_.wait(shared_from_this(), {.workspace = account_,
                                               .service = service_->id,
+                                              .returned = returned_,
                                               .priority = priority * 1000 + route_->priority,
                                               .arrived = request_->arrived(),
                                               .until = until});
@@ -250,9 +256,18 @@
     core_.pump();
 }
 
-double request_session::fill() const
+routing::request_mark request_session::mark() const
 {
-    return standing().fill;
+    using scheduling::combine;
+    using scheduling::stable_hash;
+    auto hash = combine(stable_hash(account_.str()), stable_hash(view(request_->head().target())));
+    hash = combine(hash, facts_.prompt_tokens);
+    hash = combine(hash, (std::uint64_t{facts_.max_output_tokens} << 32U) | facts_.output_hint);
+    if (!facts_.parts.empty())
+    {
+        hash = combine(hash, stable_hash(facts_.parts.back().id));
+    }
+    return routing::request_mark{static_cast<std::uint32_t>(hash)};
 }
 
 routing::standing request_session::standing() const
@@ -262,8 +277,7 @@
     {
         return {};
     }
-    const auto now = core_.now();
-    return {.fill = core_.shares.fill(account_, now), .ahead = core_.shares.ahead(account_, now)};
+    return core_.shares.of(account_, returned_, core_.now());
 }
 
 double request_session::tokens() const
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -81,7 +81,8 @@
     attempts::request_fingerprint fingerprint();
     /// Upstreams crashed under it, at this router or others, so that no more may run it.
     bool crashes_upstreams();
-    double fill() const;
+    /// By which it is known again at whichever router, and cheap enough for each request.
+    routing::request_mark mark() const;
     routing::standing standing() const;
     double tokens() const;
     std::uint32_t expected_output() const;
@@ -103,6 +104,8 @@
     std::uint32_t sent_ = 0;
     std::uint32_t unreachable_ = 0;
     bool may_have_run_ = false;
+    /// Refused before, and sent once more by its caller.
+    bool returned_ = false;
     bool counted_ = false;
     bool admitted_ = false;
     bool begun_ = false;
--- a/src/libcaraway/routing/admission.hpp
+++ b/src/libcaraway/routing/admission.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libcaraway/routing/configuration.hpp"
+#include "libcaraway/routing/workspace_shares.hpp"
 
 #include <limits>
 
@@ -44,14 +45,6 @@
     milliseconds hold{};
 };
 
-/// What a workspace has had: of its share, 1 being all (workspace_shares::fill), and against the
-/// backlogged one that has had least (workspace_shares::ahead).
-struct standing
-{
-    double fill = 0;
-    double ahead = 0;
-};
-
 admission_terms admit(const route& by, const standing& of, const admission_options& options = {});
 
 /// When a refused caller should come back: `draw` is uniform in [0, 1) and spreads those refused at
--- a/src/libcaraway/routing/digest.cpp
+++ b/src/libcaraway/routing/digest.cpp
@@ -11,8 +11,8 @@
 using nlohmann::json;
 
 /// First field of each digest; another format gets another number.
-constexpr std::uint64_t format = 3;
-constexpr std::size_t fields = 16;
+constexpr std::uint64_t format = 4;
+constexpr std::size_t fields = 17;
 
 json endpoint_json(const endpoint& of)
 {
@@ -104,6 +104,26 @@
     return suspects;
 }
 
+json marks_json(const std::vector<request_mark>& marks)
+{
+    auto out = json::array();
+    for (const auto each : marks)
+    {
+        out.push_back(static_cast<std::uint32_t>(each));
+    }
+    return out;
+}
+
+std::vector<request_mark> marks_of(const json& from)
+{
+    std::vector<request_mark> marks;
+    for (const auto& each : from)
+    {
+        marks.push_back(request_mark{each.get<std::uint32_t>()});
+    }
+    return marks;
+}
+
 digest digest_of(const json& from)
 {
     return {.from = base::node_id(from.at(1).get<std::string>()),
@@ -120,19 +140,20 @@
             .store_held = std::chrono::milliseconds(from.at(10).get<std::int64_t>()),
             .loads = loads_of(from.at(11)),
             .usages = usages_of(from.at(12)),
-            .suspects = suspects_of(from.at(15))};
+            .suspects = suspects_of(from.at(15)),
+            .refused = marks_of(from.at(16))};
 }
 
 }  // namespace
 
 std::string encode(const digest& what)
 {
-    const auto all = json::array({format, what.from.str(), what.life, what.number, what.zone.str(),
-                                  endpoint_json(what.callers), endpoint_json(what.control),
-                                  endpoint_json(what.datagrams), what.ready,
-                                  static_cast<std::uint64_t>(what.version), what.store_held.count(),
-                                  loads_json(what.loads), usages_json(what.usages), what.capacity,
-                                  what.request_rate, suspects_json(what.suspects)});
+    const auto all = json::array(
+        {format, what.from.str(), what.life, what.number, what.zone.str(),
+         endpoint_json(what.callers), endpoint_json(what.control), endpoint_json(what.datagrams),
+         what.ready, static_cast<std::uint64_t>(what.version), what.store_held.count(),
+         loads_json(what.loads), usages_json(what.usages), what.capacity, what.request_rate,
+         suspects_json(what.suspects), marks_json(what.refused)});
     std::string out;
     json::to_cbor(all, out);
     return out;
--- a/src/libcaraway/routing/digest.hpp
+++ b/src/libcaraway/routing/digest.hpp
@@ -4,6 +4,7 @@
 #include "libcaraway/base/error.hpp"
 #include "libcaraway/base/units.hpp"
 #include "libcaraway/routing/load_board.hpp"
+#include "libcaraway/routing/refused_requests.hpp"
 #include "libcaraway/routing/upstream_directory.hpp"
 #include "libcaraway/routing/workspace_shares.hpp"
 
@@ -40,6 +41,8 @@
     workspace_usages usages;
     /// Requests that upstreams crashed under.
     std::vector<attempts::suspect_entry> suspects;
+    /// Requests that the sender refused just now.
+    std::vector<request_mark> refused;
 };
 
 /// CBOR (RFC 8949), by library.
--- a/src/libcaraway/routing/waiting_line.cpp
+++ b/src/libcaraway/routing/waiting_line.cpp
@@ -21,7 +21,7 @@
 std::vector<ticket> waiting_line::order(const fill_of& fill) const
 {
     std::map<base::workspace_id, double> fills;
-    using key = std::tuple<double, std::int32_t, base::time_point, ticket>;
+    using key = std::tuple<double, bool, std::int32_t, base::time_point, ticket>;
     std::vector<key> keys;
     for (const auto& [id, each] : waiting_)
     {
@@ -30,7 +30,7 @@
         {
             place->second = fill(each.workspace);
         }
-        keys.emplace_back(place->second, each.priority, each.arrived, id);
+        keys.emplace_back(place->second, each.returned, each.priority, each.arrived, id);
     }
     std::sort(keys.begin(), keys.end());
     std::vector<ticket> out;
--- a/src/libcaraway/routing/waiting_line.hpp
+++ b/src/libcaraway/routing/waiting_line.hpp
@@ -17,6 +17,8 @@
 {
     base::workspace_id workspace;
     base::service_id service;
+    /// Came back after a refusal.
+    bool returned = false;
     /// 0 is the most urgent.
     std::int32_t priority = 0;
     base::time_point arrived{};
@@ -29,8 +31,9 @@
 };
 
 /// Requests that found no place at once. Served by the workspace that has had the least of what it
-/// is due, then by urgency, then by arrival: so a flooding workspace's requests wait behind
-/// everyone else's, and within a workspace nothing is overtaken by what is no more urgent.
+/// is due, then fresh ones before returned ones, then by urgency, then by arrival: so a flooding
+/// workspace's requests wait behind everyone else's, and within a workspace nothing is overtaken by
+/// what is no more urgent.
 class waiting_line
 {
 public:
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -115,6 +115,19 @@
     return total_[id].served / least_backlogged_;
 }
 
+standing workspace_shares::of(const base::workspace_id& id, bool returned, base::time_point now)
+{
+    const double had = fill(id, now);
+    if (!returned || had >= 1 || capacity_ <= 0)
+    {
+        return {.fill = had, .ahead = ahead(id, now)};
+    }
+    const auto& all = total_[id];
+    const double wanted = all.asked / even_share_;
+    return {.fill = std::max(had, wanted),
+            .ahead = wanted >= 1 ? all.served / least_backlogged_ : 0};
+}
+
 std::int64_t workspace_shares::part_number(base::time_point now) const
 {
     const base::duration part = options_.window / static_cast<int>(parts);
--- a/src/libcaraway/routing/workspace_shares.hpp
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -17,6 +17,14 @@
     double served = 0;
 };
 
+/// What a workspace has had: of its share, 1 being all (workspace_shares::fill), and against the
+/// backlogged one that has had least (workspace_shares::ahead).
+struct standing
+{
+    double fill = 0;
+    double ahead = 0;
+};
+
 using workspace_usages = std::map<base::workspace_id, workspace_usage>;
 
 struct share_options
@@ -60,6 +68,9 @@
     /// backlogged. Beyond their shares workspaces divide what is left over evenly: one that is
     /// ahead of a backlogged one gives way to it.
     double ahead(const base::workspace_id& id, base::time_point now);
+    /// Both. A request that `returned` after a refusal stands behind the fresh ones: it is beyond
+    /// the share already if these ask for all of it.
+    standing of(const base::workspace_id& id, bool returned, base::time_point now);
 
 private:
     /// Parts of the window that are dropped at a time; a count is at most an eighth too old.
