--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -199,7 +199,6 @@
                                 .output_tokens = expected_output(),
                                 .parts = &facts_.parts,
                                 .tried = tried_,
-                                .longest_pause = route_->gap_target,
                                 .longest_wait = terms.longest_wait,
                                 .slot_share = terms.slot_share,
                                 .most_repeated = terms.most_repeated},
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -244,20 +244,6 @@
                      .running = total.running};
 }
 
-/// What it costs those who run there, and the request itself, to be held up by reading.
-double placer::holding_up(const placement_request& request, const placement& there,
-                          double ms_per_token) const
-{
-    const double pause = static_cast<double>(request.longest_pause.count());
-    const auto late = [&](double reading)
-    {
-        const double over = reading / pause - options_.harmless_reading;
-        return std::clamp(over / (options_.harmful_reading - options_.harmless_reading), 0.0, 1.0);
-    };
-    const double own = static_cast<double>(there.load.unread_tokens) * ms_per_token;
-    return static_cast<double>(options_.held_up.count()) * there.running * late(own);
-}
-
 double placer::cost(const upstream& where, const placement_request& request, const placement& there,
                     double read_again, double ms_per_token) const
 {
@@ -272,8 +258,7 @@
     const double slowing =
         std::chrono::duration<double, std::milli>(options_.running_request).count() * there.running;
     const double repeating = options_.repeat_weight * read_again * ms_per_token;
-    return distance + static_cast<double>(there.wait.count()) + reading + repeating + slowing +
-           holding_up(request, there, ms_per_token);
+    return distance + static_cast<double>(there.wait.count()) + reading + repeating + slowing;
 }
 
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/placer.hpp
+++ b/src/libcaraway/routing/placer.hpp
@@ -32,14 +32,6 @@
     /// Reading a shared part anew takes its engine's time from all who wait there, and a place in
     /// its memory from another part: it weighs so many times the reading itself.
     double repeat_weight = 3;
-    /// An engine that reads without a break holds up all that run there: an event of several tokens
-    /// takes as many steps, each as long as a chunk's reading. Reading for this part of the longest
-    /// pause that is on time does no harm yet ...
-    double harmless_reading = 0.8;
-    /// ... and from this part on makes each stream there late, which weighs as much as so long a
-    /// wait.
-    double harmful_reading = 1.6;
-    std::chrono::milliseconds held_up{60};
     /// A session that doesn't fit its home overflows to the next in line, the same for all routers,
     /// rather than to anywhere: reading its parts anew weighs so much less there.
     double second_home = 0.5;
@@ -56,8 +48,6 @@
     const std::vector<prompt_part>* parts = nullptr;
     /// Upstreams that this request has been sent to.
     std::vector<base::upstream_id> tried;
-    /// The longest pause between its events that is on time, for those beside it too.
-    std::chrono::milliseconds longest_pause{1000};
     /// The longest wait behind other prompts that is accepted at an engine.
     std::chrono::milliseconds longest_wait{300};
     /// Part of an engine's slots that it may use: below 1 for work that should give way.
@@ -108,8 +98,6 @@
     std::optional<placement> at(const upstream& where, const placement_request& request,
                                 std::uint32_t cached, const upstream_load& total,
                                 double ms_per_token) const;
-    double holding_up(const placement_request& request, const placement& there,
-                      double ms_per_token) const;
     double cost(const upstream& where, const placement_request& request, const placement& there,
                 double read_again, double ms_per_token) const;
 
