--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -56,31 +56,17 @@
     }
 };
 
-struct weighted_engine
-{
-    std::uint64_t hash = 0;
-    double weight = 1;
-};
-
-/// An engine of twice the weight is home to twice as many parts.
-double rendezvous(std::uint64_t part, const weighted_engine& of)
-{
-    constexpr double largest = 18446744073709551616.0;
-    const double draw = (static_cast<double>(combine(part, of.hash)) + 1) / (largest + 2);
-    return -of.weight / std::log(draw);
-}
-
 /// The highest and second highest weight of a part over the candidates: rendezvous hashing.
 std::pair<std::size_t, std::size_t> best_two(std::uint64_t part,
-                                             const std::vector<weighted_engine>& candidates)
+                                             const std::vector<std::uint64_t>& candidates)
 {
     std::size_t first = prompt_homes::nowhere;
     std::size_t second = prompt_homes::nowhere;
-    double highest = 0;
-    double next = 0;
+    std::uint64_t highest = 0;
+    std::uint64_t next = 0;
     for (std::size_t index = 0; index < candidates.size(); ++index)
     {
-        const auto weight = rendezvous(part, candidates[index]);
+        const auto weight = combine(part, candidates[index]);
         if (first == prompt_homes::nowhere || weight > highest)
         {
             second = first;
@@ -98,7 +84,7 @@
 }
 
 prompt_homes homes_for(const std::vector<const upstream*>& candidates,
-                       const std::vector<prompt_part>* parts, const reading_pace& pace)
+                       const std::vector<prompt_part>* parts)
 {
     prompt_homes out;
     if (parts == nullptr || parts->size() < 2)
@@ -107,11 +93,11 @@
     }
     out.shared = chain_of(*parts);
     out.shared.pop_back();
-    std::vector<weighted_engine> ids;
+    std::vector<std::uint64_t> ids;
     ids.reserve(candidates.size());
     for (const auto* each : candidates)
     {
-        ids.push_back({.hash = stable_hash(each->id.str()), .weight = pace.weight(each->id)});
+        ids.push_back(stable_hash(each->id.str()));
     }
     for (const auto part : out.shared)
     {
@@ -146,7 +132,7 @@
                                         const reading_pace& pace, base::time_point now)
 {
     const auto candidates = directory.usable(request.of->id);
-    const auto homes = homes_for(candidates, request.of->engine ? request.parts : nullptr, pace);
+    const auto homes = homes_for(candidates, request.of->engine ? request.parts : nullptr);
     std::optional<placement> best;
     double lowest = std::numeric_limits<double>::infinity();
     for (std::size_t index = 0; index < candidates.size(); ++index)
--- a/src/libcaraway/routing/reading_pace.cpp
+++ b/src/libcaraway/routing/reading_pace.cpp
@@ -95,13 +95,6 @@
            (seen.tokens + options_.prior_tokens);
 }
 
-double reading_pace::weight(const base::upstream_id& id) const
-{
-    const double usual =
-        all_.tokens > 0 ? all_.milliseconds / all_.tokens : options_.first_ms_per_token;
-    return std::clamp(std::round(4 * usual / ms_per_token(id)) / 4, 0.25, 2.0);
-}
-
 void reading_pace::age(aging_record& of, base::time_point now) const
 {
     const double halves = std::chrono::duration<double>(now - of.at) /
--- a/src/libcaraway/routing/reading_pace.hpp
+++ b/src/libcaraway/routing/reading_pace.hpp
@@ -60,7 +60,6 @@
     void refresh(base::time_point now);
 
     double ms_per_token(const base::upstream_id& id) const;
-    double weight(const base::upstream_id& id) const;
 
 private:
     struct aging_record
