Router: an upstream that starts again under its id is another one; entries of other writers name none

Cause: an id was taken for one life: caches, health, pooled connections, crash suspicion and requests under way of the life before were believed of the next. And an entry without a state was taken for ready, one without a zone for one nowhere, and one that turned bad left the entry before it in force. Ruled out: ending all attempts at a restart: the new process may run some already, and VMs' clocks differ; only those that were sent before its start, a second apart, and show no sign of life are ended. Change: the directory keeps the latest start of each id and ignores older ones; a later one ends what was believed. Entries are decoded strictly; a bad one names no upstream, and is said once.

--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -153,6 +153,51 @@
     log_crash(crashes.unreachable(id, now()));
 }
 
+void core::note_restarted(const base::upstream_id& id, std::chrono::milliseconds born)
+{
+    log.line("upstream_restarted", {{"upstream", id.str()}, {"born", born.count()}});
+    pool.close_all(id);
+    placer.forget(id);
+    health.forget(id);
+    log_crash(crashes.restarted(id, now()));
+    std::vector<std::shared_ptr<request_session>> there;
+    if (const auto found = at_upstreams_.find(id); found != at_upstreams_.end())
+    {
+        for (const auto& [unused, each] : found->second)
+        {
+            there.push_back(each.lock());
+        }
+    }
+    const auto alive_for = clock.wall_time().time_since_epoch() - born;
+    for (const auto& each : there)
+    {
+        if (each == nullptr)
+        {
+            continue;
+        }
+        each->on_upstream_restarted(std::chrono::duration_cast<base::duration>(alive_for));
+    }
+}
+
+void core::enter_upstream(const base::upstream_id& id, request_session& session)
+{
+    at_upstreams_[id][&session] = session.weak_from_this();
+}
+
+void core::leave_upstream(const base::upstream_id& id, request_session& session)
+{
+    const auto found = at_upstreams_.find(id);
+    if (found == at_upstreams_.end())
+    {
+        return;
+    }
+    found->second.erase(&session);
+    if (found->second.empty())
+    {
+        at_upstreams_.erase(found);
+    }
+}
+
 void core::log_crash(const std::optional<attempts::upstream_crash>& crash)
 {
     if (crash)
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -67,6 +67,11 @@
     /// A connection to an upstream ended before the whole answer came, or wasn't made at all.
     void note_lost(const base::upstream_id& id, attempts::request_fingerprint request);
     void note_unreachable(const base::upstream_id& id);
+    /// Another process runs under the upstream's id, since `born` by its clock.
+    void note_restarted(const base::upstream_id& id, std::chrono::milliseconds born);
+    /// A request is at the upstream, or no longer.
+    void enter_upstream(const base::upstream_id& id, request_session& session);
+    void leave_upstream(const base::upstream_id& id, request_session& session);
     /// Uniform in [0, 1).
     double draw();
 
@@ -107,6 +112,8 @@
 
     std::shared_ptr<const routing::route_table> table_;
     std::map<routing::ticket, std::weak_ptr<request_session>> waiting_;
+    std::map<base::upstream_id, std::map<request_session*, std::weak_ptr<request_session>>>
+        at_upstreams_;
     std::mt19937_64 random_;
     bool pumping_ = false;
 };
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include <set>
+
 namespace caraway::router
 {
 
@@ -54,6 +56,9 @@
 
     void take_configuration(const std::string& text, std::string_view from);
     void take_upstreams(const std::vector<row>& rows, bool whole);
+    void take_upstream(const row& from);
+    /// An entry that doesn't tell of an upstream that may be used.
+    void drop_unreadable(const row& from, const base::error& why);
     void take_routers(const std::vector<row>& rows);
     void take_copy(const table_copy& copy);
     table_copy make_copy() const;
@@ -88,6 +93,8 @@
     std::unique_ptr<table_sync> upstreams_;
     std::string configuration_text_;
     std::map<std::string, std::string> upstream_rows_;
+    /// Keys of entries that were complained about; said once, though they are written each second.
+    std::set<std::string> unreadable_;
 
     std::unique_ptr<http::listener> callers_;
     std::unique_ptr<http::listener> readiness_;
--- a/src/libcaraway/router/daemon_tables.cpp
+++ b/src/libcaraway/router/daemon_tables.cpp
@@ -181,52 +181,71 @@
 void daemon::take_upstreams(const std::vector<row>& rows, bool whole)
 {
     const auto now = core_.now();
-    std::vector<routing::upstream> all;
+    std::set<base::upstream_id> listed;
     if (whole)
     {
         upstream_rows_.clear();
     }
     for (const auto& each : rows)
     {
-        const base::upstream_id id(each.key);
         if (each.removed)
         {
             core_.log.line("upstream_removed", {{"upstream", each.key}});
             upstream_rows_.erase(each.key);
-            core_.directory.remove(id, now);
+            unreadable_.erase(each.key);
+            core_.directory.remove(base::upstream_id(each.key), now);
             continue;
         }
-        auto decoded = platform_.decode_upstream(each);
-        if (!decoded)
-        {
-            core_.log.line("upstream_unreadable",
-                           {{"upstream", each.key}, {"because", decoded.error().message}});
-            continue;
-        }
-        const auto& entry = decoded.value();
-        const auto* known = core_.directory.find(id);
-        if (known == nullptr || known->draining != entry.draining)
-        {
-            core_.log.line("upstream", {{"upstream", each.key},
-                                        {"service", entry.service.str()},
-                                        {"address", entry.address.ip},
-                                        {"draining", entry.draining}});
-        }
-        upstream_rows_[each.key] = each.value;
-        all.push_back(entry);
+        listed.insert(base::upstream_id(each.key));
+        take_upstream(each);
     }
     if (whole)
     {
-        core_.directory.replace(all, now);
+        core_.directory.keep_only(listed, now);
     }
-    else
+    core_.pump();
+}
+
+void daemon::take_upstream(const row& from)
+{
+    auto decoded = platform_.decode_upstream(from);
+    if (!decoded)
     {
-        for (const auto& each : all)
-        {
-            core_.directory.put(each);
-        }
+        drop_unreadable(from, decoded.error());
+        return;
+    }
+    unreadable_.erase(from.key);
+    const auto& entry = decoded.value();
+    const auto* known = core_.directory.find(entry.id);
+    const bool news = known == nullptr || known->draining != entry.draining;
+    const auto change = core_.directory.put(entry);
+    if (change == routing::upstream_directory::change::outdated)
+    {
+        return;
+    }
+    upstream_rows_[from.key] = from.value;
+    if (news)
+    {
+        core_.log.line("upstream", {{"upstream", from.key},
+                                    {"service", entry.service.str()},
+                                    {"address", entry.address.ip},
+                                    {"draining", entry.draining}});
+    }
+    if (change == routing::upstream_directory::change::restarted)
+    {
+        core_.note_restarted(entry.id, entry.born);
+    }
+}
+
+void daemon::drop_unreadable(const row& from, const base::error& why)
+{
+    // What it said before no longer stands: whoever wrote over it, the upstream didn't say so.
+    core_.directory.forget(base::upstream_id(from.key));
+    upstream_rows_.erase(from.key);
+    if (unreadable_.insert(from.key).second)
+    {
+        core_.log.line("upstream_unreadable", {{"upstream", from.key}, {"because", why.message}});
     }
-    core_.pump();
 }
 
 void daemon::take_routers(const std::vector<row>& rows)
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -83,6 +83,7 @@
     sent_by_ = place;
     sent_at_ = now;
     attempt_->place = std::move(place);
+    core_.enter_upstream(id, *this);
     attempt_->sent = now;
     attempt_->connection = core_.pool.take(id);
     const forward_terms terms{.instance = id,
@@ -241,6 +242,23 @@
     attempt_ended(end_of(why));
 }
 
+/// A connection to a process that is gone may stay silent for good. Clocks of VMs differ and jump,
+/// so what was sent about when the new process started is left to its connection; so is what still
+/// shows signs of life.
+void request_session::on_upstream_restarted(base::duration alive_for)
+{
+    constexpr std::chrono::seconds clocks_differ{1};
+    const auto now = core_.now();
+    const bool of_life_before = attempt_ && now - attempt_->sent > alive_for + clocks_differ;
+    if (ended_ || !of_life_before || now - attempt_->last_sign < clocks_differ)
+    {
+        return;
+    }
+    const auto keep = shared_from_this();
+    const auto of = attempt_;
+    on_failed(*of, of->head ? http::call_failure::cut_answer : http::call_failure::no_answer);
+}
+
 void request_session::attempt_ended(attempt_end how)
 {
     const auto last = attempt_;
@@ -334,6 +352,7 @@
     const auto last = std::move(attempt_);
     attempt_.reset();
     core_.timers.cancel(last->silence_timer);
+    core_.leave_upstream(last->place.where.id, *this);
     core_.board.end(last->place.where.id, last->place.load);
     // A call that ended well has given its connection back; any other may still bring bytes.
     if (last->connection)
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -19,6 +19,8 @@
     /// Sends it if some upstream has a place now.
     bool try_place();
     void on_waited_too_long();
+    /// The upstream that it is at is another process than before, for so long by its own clock.
+    void on_upstream_restarted(base::duration alive_for);
 
 private:
     /// An attempt at one upstream.
--- a/src/libcaraway/routing/crash_watch.cpp
+++ b/src/libcaraway/routing/crash_watch.cpp
@@ -31,6 +31,14 @@
     return crash;
 }
 
+std::optional<attempts::upstream_crash> crash_watch::restarted(const base::upstream_id& upstream,
+                                                               base::time_point now)
+{
+    auto crash = unreachable(upstream, now);
+    detector_.healthy(upstream);
+    return crash;
+}
+
 void crash_watch::completed(attempts::request_fingerprint request, base::time_point now)
 {
     suspects_.completed(request, now);
--- a/src/libcaraway/routing/crash_watch.hpp
+++ b/src/libcaraway/routing/crash_watch.hpp
@@ -52,6 +52,10 @@
     /// A new connection was refused or not made.
     std::optional<attempts::upstream_crash> unreachable(const base::upstream_id& upstream,
                                                         base::time_point now);
+    /// Another process runs under its id. With connections lost there shortly before, the one
+    /// before crashed; what comes after says nothing of it.
+    std::optional<attempts::upstream_crash> restarted(const base::upstream_id& upstream,
+                                                      base::time_point now);
     /// A request had its whole answer.
     void completed(attempts::request_fingerprint request, base::time_point now);
 
--- a/src/libcaraway/routing/placer.hpp
+++ b/src/libcaraway/routing/placer.hpp
@@ -88,6 +88,11 @@
     /// The request went there: its shared parts will be in that cache.
     void note_sent(const base::upstream_id& id, const std::vector<prompt_part>& parts,
                    base::time_point now);
+    /// Its cache is empty: another process runs there.
+    void forget(const base::upstream_id& id)
+    {
+        read_.erase(id);
+    }
 
 private:
     using part_times = std::unordered_map<std::uint64_t, base::time_point>;
--- a/src/libcaraway/routing/upstream_directory.cpp
+++ b/src/libcaraway/routing/upstream_directory.cpp
@@ -1,16 +1,22 @@
 #include "libcaraway/routing/upstream_directory.hpp"
 
-#include <set>
-
 namespace caraway::routing
 {
 
 upstream_directory::upstream_directory(directory_options options) : options_(options) {}
 
-void upstream_directory::put(const upstream& entry)
+upstream_directory::change upstream_directory::put(const upstream& entry)
 {
+    const auto [start, first] = latest_start_.try_emplace(entry.id, entry.born);
+    if (entry.born < start->second)
+    {
+        return change::outdated;
+    }
+    const bool restarted = !first && entry.born > start->second;
+    start->second = entry.born;
     missing_.erase(entry.id);
     entries_[entry.id] = entry;
+    return restarted ? change::restarted : change::same_life;
 }
 
 void upstream_directory::remove(const base::upstream_id& id, base::time_point now)
@@ -27,14 +33,8 @@
     forget(id);
 }
 
-void upstream_directory::replace(const std::vector<upstream>& all, base::time_point now)
+void upstream_directory::keep_only(const std::set<base::upstream_id>& listed, base::time_point now)
 {
-    std::set<base::upstream_id> listed;
-    for (const auto& entry : all)
-    {
-        listed.insert(entry.id);
-        put(entry);
-    }
     std::vector<base::upstream_id> absent;
     for (const auto& [id, entry] : entries_)
     {
--- a/src/libcaraway/routing/upstream_directory.hpp
+++ b/src/libcaraway/routing/upstream_directory.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,9 @@
     std::uint32_t slots = 1;
     /// Takes no new requests; ends soon.
     bool draining = false;
+    /// The start of its process, by its own clock, since the epoch; 0: not told. A later one under
+    /// the same id is another process, which holds and knows nothing of the one before.
+    std::chrono::milliseconds born{};
 };
 
 struct directory_options
@@ -50,10 +54,19 @@
 public:
     explicit upstream_directory(directory_options options = {});
 
-    void put(const upstream& entry);
+    /// How an entry relates to what is known of the same id.
+    enum class change
+    {
+        same_life,
+        /// Another process than before: what was believed of its life before ends.
+        restarted,
+        /// Of a life that has ended; ignored.
+        outdated,
+    };
+    change put(const upstream& entry);
     void remove(const base::upstream_id& id, base::time_point now);
-    /// The whole listing; what it lacks is removed.
-    void replace(const std::vector<upstream>& all, base::time_point now);
+    /// The whole listing: removes what it lacks.
+    void keep_only(const std::set<base::upstream_id>& listed, base::time_point now);
 
     void store_lost(base::time_point now);
     void store_back(base::time_point now);
@@ -86,6 +99,8 @@
 
     directory_options options_;
     std::map<base::upstream_id, upstream> entries_;
+    /// The latest start that was told of each id, also after its entry has gone.
+    std::map<base::upstream_id, std::chrono::milliseconds> latest_start_;
     /// Listed no more, but not yet believed.
     std::map<base::upstream_id, bool> missing_;
     bool lost_ = false;
--- a/src/libcaraway/scheduling/upstream_health.hpp
+++ b/src/libcaraway/scheduling/upstream_health.hpp
@@ -31,6 +31,11 @@
     /// When the next ejection ends.
     std::optional<base::time_point> next_return(base::time_point now) const;
 
+    /// Another process runs under its id: what the one before did says nothing of it.
+    void forget(const base::upstream_id& upstream)
+    {
+        records_.erase(upstream);
+    }
     void retain(const std::vector<base::upstream_id>& upstreams);
 
 private:
--- a/tests/routing/test_upstream_directory.cpp
+++ b/tests/routing/test_upstream_directory.cpp
@@ -59,7 +59,7 @@
     directory.store_lost(start() - 5s);
     directory.store_back(start());
 
-    directory.replace({}, start());
+    directory.keep_only({}, start());
     directory.expire(start() + 2299ms);
     BOOST_TEST(directory.usable(engines).size() == 2);
 
@@ -111,4 +111,24 @@
     BOOST_TEST(directory.usable(engines).empty());
 }
 
+// Symptom: an upstream's earlier life was believed again.
+// Sequence: it started anew under its id; an entry of before arrived late, also after it had left.
+BOOST_AUTO_TEST_CASE(an_entry_of_an_earlier_life_changes_nothing)
+{
+    using change = upstream_directory::change;
+    upstream_directory directory;
+    const auto entry = [](std::chrono::milliseconds born, bool draining)
+    {
+        return upstream{.id = base::upstream_id("i-1"), .draining = draining, .born = born};
+    };
+    BOOST_TEST((directory.put(entry(1000ms, true)) == change::same_life));
+    BOOST_TEST((directory.put(entry(2000ms, false)) == change::restarted));
+
+    BOOST_TEST((directory.put(entry(1000ms, true)) == change::outdated));
+    BOOST_TEST(!directory.find(base::upstream_id("i-1"))->draining);
+    directory.forget(base::upstream_id("i-1"));
+    BOOST_TEST((directory.put(entry(1000ms, true)) == change::outdated));
+    BOOST_TEST(directory.size() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/users_platform/test_tables.cpp
+++ b/tests/users_platform/test_tables.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace users_platform_tests;
 using run = stand_in_runner::run;
 
@@ -232,4 +234,97 @@
     BOOST_TEST(logged({"\"event\":\"end\"", "\"unfinished\":0"}));
 }
 
+// Symptom: a router sent requests to an address that no runner of the service had.
+// Sequence: somebody else wrote an entry, with a field missing, of another type, or a word that
+// isn't one of the platform's.
+// Cause: what was missing was taken for a usual value.
+BOOST_AUTO_TEST_CASE(entries_of_other_writers_name_no_upstream_and_the_others_hold)
+{
+    const auto good = nlohmann::json::parse(second.entry("plain"));
+    int number = 0;
+    const auto put = [&](const std::string& value)
+    {
+        store.put("servers", "x-" + std::to_string(++number), value);
+    };
+    for (const auto& [name, value] : good.items())
+    {
+        if (name == "sequence")
+        {
+            continue;
+        }
+        auto without = good;
+        without.erase(name);
+        put(without.dump());
+        for (const auto& wrong : nlohmann::json::parse(R"([null, true, -1, 1.5, [], {}, 7, "x"])"))
+        {
+            const bool fits = wrong.is_number_unsigned() ? value.is_number()
+                                                         : wrong.is_string() && name != "address" &&
+                                                               name != "state" && value.is_string();
+            auto changed = good;
+            changed[name] = wrong;
+            if (!fits)
+            {
+                put(changed.dump());
+            }
+        }
+    }
+    for (const auto* text : {"", "{", "[]", "null", "7", "\xff\xfe", R"({"backend":"\xff"})"})
+    {
+        put(text);
+    }
+    auto early = good;
+    early["born"] = "yesterday";
+    put(early.dump());
+    auto& router = start_router();
+
+    BOOST_REQUIRE(becomes_true([&] { return usable(router) == "i-1 "; }));
+    BOOST_TEST(answered(ask(router, "/a/", "id-1"), "200"));
+    BOOST_TEST(becomes_true([&] { return logged({"upstream_unreadable", "x-1"}); }));
+}
+
+// Symptom: requests went to a runner whose entry somebody had written over.
+// Cause: an entry that couldn't be read left the one before in force.
+BOOST_AUTO_TEST_CASE(an_entry_that_turns_bad_names_no_upstream_until_it_is_good_again)
+{
+    add(second);
+    auto& router = start_router();
+    BOOST_REQUIRE(becomes_true([&] { return usable(router) == "i-1 i-2 "; }));
+
+    store.put("servers", "i-2", R"({"backend":"plain"})");
+    BOOST_REQUIRE(becomes_true([&] { return usable(router) == "i-1 "; }));
+    store.put("servers", "i-2", R"({"backend":"plain","state":3})");
+    add(second);
+    BOOST_REQUIRE(becomes_true([&] { return usable(router) == "i-1 i-2 "; }));
+
+    const auto complaints = std::count_if(
+        lines.begin(), lines.end(),
+        [](const std::string& line) { return line.find("upstream_unreadable") != line.npos; });
+    BOOST_TEST(complaints == 1);
+}
+
+// Symptom: a router kept believing of a runner what its process before had held and done.
+// Sequence: it crashed and started again under the same id.
+// Cause: an id was taken for one life.
+BOOST_AUTO_TEST_CASE(a_runner_that_starts_again_under_its_id_is_known_to_be_new)
+{
+    const auto entry = [&](std::uint64_t born)
+    {
+        auto of = nlohmann::json::parse(first.entry("plain"));
+        of["born"] = born;
+        return of.dump();
+    };
+    store.put("servers", "i-1", entry(1000));
+    auto& router = start_router();
+    BOOST_REQUIRE(answered(ask(router, "/a/", "id-1"), "200"));
+
+    store.put("servers", "i-1", entry(2000));
+    BOOST_REQUIRE(becomes_true([&] { return logged({"upstream_restarted", "i-1", "2000"}); }));
+    BOOST_TEST(answered(ask(router, "/a/", "id-2"), "200"));
+    store.put("servers", "i-1", entry(1000));
+    add(second);
+    BOOST_REQUIRE(becomes_true([&] { return usable(router) == "i-1 i-2 "; }));
+
+    BOOST_TEST(!logged({"upstream_restarted", R"("born":1000)"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
