Router: two routers of a zone ask the platform's store, the others hear from them

Ruled out: an owner by lease (agreement, a pause at each change), gossip alone (several digest periods). Change: routing/table_relay orders the routers of a zone; the first two ask, push changes at once, the rest take over copies and ask by themselves within 0.6 to 0.8 of the notice that a leaving upstream gives when their sources stand still. Small sites have zones of three: unchanged. Tests: two stay the same; both die, both are cut off, nine of ten are; nobody heard; small zones; a copy is taken over once.

--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -71,9 +71,9 @@
                settings_source reread)
     : core_(loop, clock, std::move(options), std::move(protocol), log),
       platform_(std::move(platform)), reread_(std::move(reread)), life_(now_as_life(clock)),
-      peers_(core_.options.name, core_.options.zone),
+      peers_(core_.options.name, core_.options.zone), relay_(core_.options.name),
       link_(
-          core_, peers_, [this] { return make_digest(); },
+          core_, peers_, relay_, [this] { return make_digest(); },
           [this](const table_copy& copy) { take_copy(copy); }),
       signals_(loop)
 {
@@ -186,6 +186,7 @@
     core_.directory.expire(now);
     core_.expire_waiting();
     core_.pump();
+    choose_source(now);
     link_.tell();
     ask_peers(now);
     tell_store(now);
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -50,6 +50,11 @@
     void tick();
     void notice_lateness(base::time_point now);
     void ask_peers(base::time_point now);
+    /// Starts or ends asking the store, as the zone's other routers stand.
+    void choose_source(base::time_point now);
+    routing::table_state tables() const;
+    /// Tells the zone at once of what the store changed.
+    void tell_changes();
     void tell_store(base::time_point now);
     void progress_stop(base::time_point now);
     void set_shares_of_limits();
@@ -61,7 +66,7 @@
     void drop_unreadable(const row& from, const base::error& why);
     void take_routers(const std::vector<row>& rows);
     void take_copy(const table_copy& copy);
-    table_copy make_copy() const;
+    table_copy make_copy(base::config_version peer_has) const;
     routing::digest make_digest();
     row own_row() const;
     routing::peer self() const;
@@ -86,6 +91,9 @@
     std::uint64_t life_;
     std::uint64_t digests_ = 0;
     routing::peer_table peers_;
+    routing::table_relay relay_;
+    /// Of what was told to the routers of this zone last.
+    std::uint64_t told_mark_ = 0;
     peer_link link_;
     boost::asio::signal_set signals_;
 
--- a/src/libcaraway/router/daemon_answers.cpp
+++ b/src/libcaraway/router/daemon_answers.cpp
@@ -71,9 +71,11 @@
 void daemon::answer_control(const std::shared_ptr<http::exchange>& request)
 {
     const auto target = view(request->head().target());
-    if (target == "/tables")
+    if (path_of(request) == "/tables")
     {
-        answer_json(request, encode(make_copy()));
+        const auto has = query_value(target, "have");
+        const auto version = has.empty() ? 0 : std::strtoull(has.c_str(), nullptr, 10);
+        answer_json(request, encode(make_copy(base::config_version{version})));
     }
     else if (target == "/state")
     {
@@ -157,6 +159,7 @@
             {"version", static_cast<std::uint64_t>(core_.version())},
             {"ready", ready()},
             {"stopping", is_stopping()},
+            {"asks_store", !upstreams_->resting()},
             {"waiting", core_.line.size()},
             {"upstreams", upstreams},
             {"peers", peers}};
--- a/src/libcaraway/router/daemon_tables.cpp
+++ b/src/libcaraway/router/daemon_tables.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds ask_period{300};
 /// A table of routers that start and stop rarely, and say so themselves.
 constexpr milliseconds routers_period{15000};
+/// A router that doesn't ask the store of upstreams reads that table so many times more rarely.
+constexpr int resting_pace = 4;
 constexpr milliseconds own_row_retry{700};
 /// The store's own answer to a call that waits for runners, spaced so that a table in which every
 /// heartbeat shows costs three calls a second.
@@ -26,6 +28,10 @@
 /// requests that are on their way.
 constexpr std::size_t paced_from = 20;
 constexpr double gap_of_notice = 0.6;
+/// Where few routers ask for all of their zone, the store's answers come so often that the others
+/// notice in time when they stop (routing/table_relay), and each change is passed on at once.
+constexpr double hold_of_notice = 0.3;
+constexpr milliseconds shared_gap{200};
 constexpr milliseconds longest_hold{6000};
 /// How fast engines read changes within seconds.
 constexpr milliseconds readings_period{1000};
@@ -84,6 +90,11 @@
         link_.ask(newer->control);
         return;
     }
+    if (const auto source = upstreams_->resting() ? relay_.source(now) : std::nullopt)
+    {
+        link_.ask(peers_.all().at(*source).control);
+        return;
+    }
     const bool lost = upstreams_->lost() || configurations_->lost();
     if (!lost && knows_all())
     {
@@ -102,6 +113,55 @@
     }
 }
 
+void daemon::choose_source(base::time_point now)
+{
+    if (upstreams_->lost() || configurations_->lost())
+    {
+        relay_.note_lost(now);
+    }
+    relay_.set_leaving_notice(core_.options.leaving_notice);
+    relay_.set_own(core_.options.capacity, tables(),
+                   upstreams_->has_read() && configurations_->has_read(), now);
+    tell_changes();
+    const bool follows = relay_.follows(now);
+    if (follows != upstreams_->resting())
+    {
+        return;
+    }
+    core_.log.line("store_source", {{"asks_store", follows}, {"revision", upstreams_->revision()}});
+    for (auto* each : {configurations_.get(), upstreams_.get()})
+    {
+        if (follows)
+        {
+            each->wake();
+        }
+        else
+        {
+            each->rest();
+        }
+    }
+}
+
+routing::table_state daemon::tables() const
+{
+    return {.follows = !upstreams_->resting(),
+            .lost = relay_.lost(core_.now()),
+            .answers = upstreams_->answers(),
+            .revision = upstreams_->revision(),
+            .mark = core_.directory.mark()};
+}
+
+void daemon::tell_changes()
+{
+    const auto mark = core_.directory.mark();
+    const bool tells = !upstreams_->resting() && mark != told_mark_;
+    told_mark_ = mark;
+    if (tells)
+    {
+        link_.tell_zone();
+    }
+}
+
 void daemon::tell_store(base::time_point now)
 {
     if (store_busy_)
@@ -122,7 +182,7 @@
     }
     if (own_row_written_ && now >= next_routers_read_)
     {
-        next_routers_read_ = now + routers_period;
+        next_routers_read_ = now + routers_period * (upstreams_->resting() ? resting_pace : 1);
         store_busy_ = true;
         platform_.routers.read_all(
             [this](const base::result<rows_answer>& result)
@@ -145,7 +205,12 @@
     const auto pace = static_cast<int>(1 + routers / paced_from);
     const auto notice = static_cast<double>(core_.options.leaving_notice.count());
     const milliseconds longest_gap(static_cast<std::int64_t>(gap_of_notice * notice));
+    const milliseconds hold(static_cast<std::int64_t>(hold_of_notice * notice));
     upstreams_->set_pace(std::min(upstreams_gap * pace, longest_gap), upstreams_hold);
+    if (relay_.is_shared(core_.now()))
+    {
+        upstreams_->set_pace(shared_gap, std::min(upstreams_hold, hold));
+    }
     configurations_->set_pace({}, std::min(configuration_hold * pace, longest_hold));
     const auto table = core_.table();
     if (!table)
@@ -175,6 +240,7 @@
         configuration_text_ = text;
         set_shares_of_limits();
         core_.pump();
+        link_.tell_zone();
     }
 }
 
@@ -184,14 +250,14 @@
     std::set<base::upstream_id> listed;
     if (whole)
     {
-        upstream_rows_.clear();
+        std::erase_if(upstream_rows_, [&](const auto& each)
+                      { return core_.directory.find(base::upstream_id(each.first)) == nullptr; });
     }
     for (const auto& each : rows)
     {
         if (each.removed)
         {
             core_.log.line("upstream_removed", {{"upstream", each.key}});
-            upstream_rows_.erase(each.key);
             unreadable_.erase(each.key);
             core_.directory.remove(base::upstream_id(each.key), now);
             continue;
@@ -280,19 +346,36 @@
     {
         peers_.introduce(each, core_.now());
     }
-    const bool need_upstreams = upstreams_->lost() || !upstreams_->has_read();
-    if (need_upstreams && !copy.upstreams.empty())
+    const bool resting = upstreams_->resting();
+    const bool newer = resting && copy.state.revision >= upstreams_->revision();
+    const bool needed = newer || upstreams_->lost() || !upstreams_->has_read();
+    if (!needed || copy.upstreams.empty())
+    {
+        return;
+    }
+    take_upstreams(copy.upstreams, true);
+    if (resting)
     {
-        take_upstreams(copy.upstreams, true);
+        upstreams_->adopt(copy.state.revision);
+        relay_.note_copied(copy.from, copy.state, core_.now());
     }
 }
 
-table_copy daemon::make_copy() const
+table_copy daemon::make_copy(base::config_version peer_has) const
 {
-    table_copy copy{.configuration = configuration_text_, .version = core_.version()};
+    table_copy copy{.from = core_.options.name, .version = core_.version(), .state = tables()};
+    if (peer_has < copy.version)
+    {
+        copy.configuration = configuration_text_;
+    }
+    // What the directory believes, not what the store lists: around an outage entries lapse there
+    // that this router still holds, and a peer takes the copy for the whole truth.
     for (const auto& [key, value] : upstream_rows_)
     {
-        copy.upstreams.push_back({.key = key, .value = value});
+        if (core_.directory.find(base::upstream_id(key)) != nullptr)
+        {
+            copy.upstreams.push_back({.key = key, .value = value});
+        }
     }
     for (const auto& [id, each] : peers_.all())
     {
@@ -329,7 +412,8 @@
             .usages = core_.shares.own(core_.now()),
             .suspects = core_.crashes.entries(core_.now()),
             .refused = core_.refused.told(told_digests * peers_.period(), core_.now()),
-            .readings = std::move(readings)};
+            .readings = std::move(readings),
+            .tables = tables()};
 }
 
 routing::peer daemon::self() const
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -38,9 +38,12 @@
         routers.push_back({each.id.str(), each.life, each.zone.str(), endpoint_json(each.callers),
                            endpoint_json(each.control), endpoint_json(each.datagrams)});
     }
-    return json{{"configuration", copy.configuration},
+    return json{{"from", copy.from.str()},
+                {"configuration", copy.configuration},
                 {"configuration_version", static_cast<std::uint64_t>(copy.version)},
                 {"upstreams", upstreams},
+                {"revision", copy.state.revision},
+                {"mark", copy.state.mark},
                 {"routers", routers}}
         .dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -51,8 +54,11 @@
     {
         const auto from = json::parse(text);
         table_copy copy{
+            .from = base::node_id(from.at("from").get<std::string>()),
             .configuration = from.at("configuration").get<std::string>(),
-            .version = base::config_version{from.at("configuration_version").get<std::uint64_t>()}};
+            .version = base::config_version{from.at("configuration_version").get<std::uint64_t>()},
+            .state = {.revision = from.at("revision").get<std::uint64_t>(),
+                      .mark = from.at("mark").get<std::uint64_t>()}};
         for (const auto& each : from.at("upstreams"))
         {
             copy.upstreams.push_back(
@@ -75,9 +81,9 @@
     }
 }
 
-peer_link::peer_link(core& shared, routing::peer_table& peers, digest_source make_digest,
-                     copy_taker take_copy)
-    : core_(shared), peers_(peers), make_digest_(std::move(make_digest)),
+peer_link::peer_link(core& shared, routing::peer_table& peers, routing::table_relay& relay,
+                     digest_source make_digest, copy_taker take_copy)
+    : core_(shared), peers_(peers), relay_(relay), make_digest_(std::move(make_digest)),
       take_copy_(std::move(take_copy)), socket_(shared.loop), caller_(shared.loop, shared.timers)
 {
 }
@@ -103,13 +109,22 @@
 
 void peer_link::tell()
 {
-    const auto due = peers_.take_due(core_.now());
-    if (due.empty())
+    send(peers_.take_due(core_.now()));
+}
+
+void peer_link::tell_zone()
+{
+    send(peers_.heard_in_zone(core_.now()));
+}
+
+void peer_link::send(const std::vector<routing::endpoint>& to)
+{
+    if (to.empty())
     {
         return;
     }
     const auto bytes = routing::encode(make_digest_());
-    for (const auto& each : due)
+    for (const auto& each : to)
     {
         boost::system::error_code error;
         const auto ip = boost::asio::ip::make_address(each.ip, error);
@@ -124,7 +139,8 @@
     {
         return;
     }
-    caller_.call(*from, http::get_request(*from, "/tables"), ask_timeout,
+    const auto have = std::to_string(static_cast<std::uint64_t>(core_.version()));
+    caller_.call(*from, http::get_request(*from, "/tables?have=" + have), ask_timeout,
                  [this, peer = *from](base::result<http::whole_answer> result)
                  {
                      if (!result || result.value().status != 200)
@@ -173,6 +189,10 @@
     {
         return;
     }
+    if (from.zone == core_.options.zone)
+    {
+        relay_.heard(from.from, from.capacity, from.tables, now);
+    }
     core_.board.set_peer(from.from, std::move(from.loads), now);
     core_.shares.set_peer(from.from, std::move(from.usages), now);
     core_.refused.merge(from.refused, now);
--- a/src/libcaraway/router/peer_link.hpp
+++ b/src/libcaraway/router/peer_link.hpp
@@ -14,9 +14,12 @@
 /// there, so that the peer decodes them by itself.
 struct table_copy
 {
+    base::node_id from;
     std::string configuration;
     base::config_version version{};
     std::vector<row> upstreams;
+    /// What `upstreams` is a copy of.
+    routing::table_state state;
     /// The sender and the routers that it knows: names and addresses only.
     std::vector<routing::peer> routers;
 };
@@ -31,25 +34,29 @@
     using copy_taker = std::function<void(const table_copy&)>;
     using digest_source = std::function<routing::digest()>;
 
-    peer_link(core& shared, routing::peer_table& peers, digest_source make_digest,
-              copy_taker take_copy);
+    peer_link(core& shared, routing::peer_table& peers, routing::table_relay& relay,
+              digest_source make_digest, copy_taker take_copy);
 
     /// Receives digests there; a port 0 becomes the one that it got.
     base::result<void> open(routing::endpoint& at);
 
     /// Sends digests to whom they are due.
     void tell();
+    /// Something changed that the routers of this zone should hear of at once.
+    void tell_zone();
     /// Asks for a copy of the tables if `from` is given and no question is under way.
     void ask(const std::optional<routing::endpoint>& from);
 
 private:
     using udp = boost::asio::ip::udp;
 
+    void send(const std::vector<routing::endpoint>& to);
     void receive();
     void on_digest(std::string_view bytes);
 
     core& core_;
     routing::peer_table& peers_;
+    routing::table_relay& relay_;
     digest_source make_digest_;
     copy_taker take_copy_;
     udp::socket socket_;
--- a/src/libcaraway/router/table_sync.cpp
+++ b/src/libcaraway/router/table_sync.cpp
@@ -15,13 +15,56 @@
     schedule();
 }
 
+void table_sync::rest()
+{
+    if (resting_)
+    {
+        return;
+    }
+    resting_ = true;
+    if (follower_.lost())
+    {
+        follower_.answered(follower_.revision(), timers_.now());
+        on_.back();
+    }
+}
+
+void table_sync::wake()
+{
+    if (!resting_)
+    {
+        return;
+    }
+    resting_ = false;
+    fresh_since_ = timers_.now();
+    if (!pending_)
+    {
+        schedule();
+    }
+}
+
+void table_sync::adopt(std::uint64_t revision)
+{
+    follower_.answered(revision, timers_.now());
+}
+
 void table_sync::schedule()
 {
+    pending_ = !resting_;
+    if (resting_)
+    {
+        return;
+    }
     timers_.at(follower_.next(timers_.now()).at, [this] { call(); });
 }
 
 void table_sync::call()
 {
+    if (resting_)
+    {
+        pending_ = false;
+        return;
+    }
     const auto next = follower_.next(timers_.now());
     if (next.what == routing::row_follower::step::read_all)
     {
@@ -48,6 +91,7 @@
         schedule();
         return;
     }
+    ++answers_;
     const bool was_lost = follower_.lost();
     if (was_lost || !follower_.has_read())
     {
--- a/src/libcaraway/router/table_sync.hpp
+++ b/src/libcaraway/router/table_sync.hpp
@@ -31,6 +31,25 @@
     {
         follower_.set_pace(gap, hold);
     }
+    /// Makes no more calls: peers tell what changes. What was lost counts as back.
+    void rest();
+    /// Makes calls again, from the revision that was told last.
+    void wake();
+    bool resting() const
+    {
+        return resting_;
+    }
+    /// A peer's copy was taken over, current up to that revision.
+    void adopt(std::uint64_t revision);
+    /// Answers of the store so far.
+    std::uint64_t answers() const
+    {
+        return answers_;
+    }
+    std::uint64_t revision() const
+    {
+        return follower_.revision();
+    }
     bool lost() const
     {
         return follower_.lost();
@@ -42,7 +61,7 @@
     /// How long the copy has been fresh without a break; 0 if it isn't.
     base::duration held(base::time_point now) const
     {
-        return lost() || !has_read() ? base::duration::zero() : now - fresh_since_;
+        return resting_ || lost() || !has_read() ? base::duration::zero() : now - fresh_since_;
     }
 
 private:
@@ -58,6 +77,10 @@
     routing::row_follower follower_;
     events on_;
     base::time_point fresh_since_{};
+    std::uint64_t answers_ = 0;
+    bool resting_ = false;
+    /// A call is under way, or a timer is set for the next.
+    bool pending_ = false;
 };
 
 }  // namespace caraway::router
--- a/src/libcaraway/routing/digest.cpp
+++ b/src/libcaraway/routing/digest.cpp
@@ -13,8 +13,8 @@
 using nlohmann::json;
 
 /// First field of each digest; another format gets another number.
-constexpr std::uint64_t format = 5;
-constexpr std::size_t fields = 18;
+constexpr std::uint64_t format = 6;
+constexpr std::size_t fields = 19;
 
 json endpoint_json(const endpoint& of)
 {
@@ -147,6 +147,20 @@
     return readings;
 }
 
+json tables_json(const table_state& of)
+{
+    return json::array({of.follows, of.lost, of.answers, of.revision, of.mark});
+}
+
+table_state tables_of(const json& from)
+{
+    return {.follows = from.at(0).get<bool>(),
+            .lost = from.at(1).get<bool>(),
+            .answers = from.at(2).get<std::uint64_t>(),
+            .revision = from.at(3).get<std::uint64_t>(),
+            .mark = from.at(4).get<std::uint64_t>()};
+}
+
 digest digest_of(const json& from)
 {
     return {.from = base::node_id(from.at(1).get<std::string>()),
@@ -165,7 +179,8 @@
             .usages = usages_of(from.at(12)),
             .suspects = suspects_of(from.at(15)),
             .refused = marks_of(from.at(16)),
-            .readings = readings_of(from.at(17))};
+            .readings = readings_of(from.at(17)),
+            .tables = tables_of(from.at(18))};
 }
 
 }  // namespace
@@ -177,7 +192,8 @@
          endpoint_json(what.callers), endpoint_json(what.control), endpoint_json(what.datagrams),
          what.ready, static_cast<std::uint64_t>(what.version), what.store_held.count(),
          loads_json(what.loads), usages_json(what.usages), what.capacity, what.request_rate,
-         suspects_json(what.suspects), marks_json(what.refused), readings_json(what.readings)});
+         suspects_json(what.suspects), marks_json(what.refused), readings_json(what.readings),
+         tables_json(what.tables)});
     std::string out;
     json::to_cbor(all, out);
     return out;
--- a/src/libcaraway/routing/digest.hpp
+++ b/src/libcaraway/routing/digest.hpp
@@ -6,6 +6,7 @@
 #include "libcaraway/routing/load_board.hpp"
 #include "libcaraway/routing/reading_pace.hpp"
 #include "libcaraway/routing/refused_requests.hpp"
+#include "libcaraway/routing/table_relay.hpp"
 #include "libcaraway/routing/upstream_directory.hpp"
 #include "libcaraway/routing/workspace_shares.hpp"
 
@@ -46,6 +47,8 @@
     std::vector<request_mark> refused;
     /// What the sender saw of the engines' reading; empty in most digests, as it changes slowly.
     reading_records readings;
+    /// The sender's copy of the platform's tables.
+    table_state tables;
 };
 
 /// CBOR (RFC 8949), by library.
--- a/src/libcaraway/routing/peer_table.cpp
+++ b/src/libcaraway/routing/peer_table.cpp
@@ -111,6 +111,19 @@
     return due;
 }
 
+std::vector<endpoint> peer_table::heard_in_zone(base::time_point now) const
+{
+    std::vector<endpoint> out;
+    for (const auto& [id, each] : peers_)
+    {
+        if (each.zone == zone_ && is_heard(each, now))
+        {
+            out.push_back(each.datagrams);
+        }
+    }
+    return out;
+}
+
 std::vector<endpoint> peer_table::entries(const base::zone_id& zone, const peer& self,
                                           base::time_point now,
                                           const std::function<double()>& draw) const
--- a/src/libcaraway/routing/peer_table.hpp
+++ b/src/libcaraway/routing/peer_table.hpp
@@ -74,6 +74,9 @@
     /// Peers that get a digest now: those that are heard, and at times the silent ones.
     std::vector<endpoint> take_due(base::time_point now);
 
+    /// Those of this router's zone that are heard.
+    std::vector<endpoint> heard_in_zone(base::time_point now) const;
+
     /// Where a caller of that zone should connect, out of all routers, this one (`self`) included
     /// if it is ready. Callers pick one at random, so a smaller VM is named less often: in
     /// proportion to the largest one named. `draw` is uniform in [0, 1).
--- a/src/libcaraway/routing/upstream_directory.cpp
+++ b/src/libcaraway/routing/upstream_directory.cpp
@@ -1,5 +1,7 @@
 #include "libcaraway/routing/upstream_directory.hpp"
 
+#include "libcaraway/scheduling/stable_hash.hpp"
+
 namespace caraway::routing
 {
 
@@ -121,6 +123,23 @@
     return found == entries_.end() ? nullptr : &found->second;
 }
 
+std::uint64_t upstream_directory::mark() const
+{
+    using scheduling::combine;
+    using scheduling::stable_hash;
+    std::uint64_t all = 0;
+    for (const auto& [id, entry] : entries_)
+    {
+        all = combine(all, stable_hash(id.str()));
+        all = combine(all, stable_hash(entry.service.str()));
+        all = combine(all, stable_hash(entry.address.ip));
+        all = combine(all, entry.address.port);
+        all = combine(all, entry.slots * 2U + (entry.draining ? 1U : 0U));
+        all = combine(all, static_cast<std::uint64_t>(entry.born.count()));
+    }
+    return all;
+}
+
 bool upstream_directory::in_grace(base::time_point now) const
 {
     return lost_ || now < grace_until_;
--- a/src/libcaraway/routing/upstream_directory.hpp
+++ b/src/libcaraway/routing/upstream_directory.hpp
@@ -87,6 +87,8 @@
     {
         return entries_.size();
     }
+    /// A hash of all entries, the same at each router that holds the same.
+    std::uint64_t mark() const;
     /// All entries, for the dump and for peers that can't reach the store.
     const std::map<base::upstream_id, upstream>& all() const
     {
--- /dev/null
+++ b/tests/routing/test_table_relay.cpp
@@ -0,0 +1,197 @@
+#include "libcaraway/routing/table_relay.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <array>
+
+using namespace caraway;
+using namespace std::chrono_literals;
+using namespace caraway::routing;
+
+namespace
+{
+
+const base::time_point start(1h);
+constexpr std::uint64_t mark = 77;
+
+/// A zone of ten routers of one size, each with its own view of the others. Time goes on in steps
+/// of a digest; followers get an answer of the store in each.
+struct zone
+{
+    static constexpr int size = 10;
+
+    zone()
+    {
+        for (int number = 0; number < size; ++number)
+        {
+            relays.emplace_back(id(number), relay_options{.leaving_notice = 3000ms});
+            states.push_back({.follows = true, .revision = 5, .mark = mark});
+        }
+        step();
+    }
+
+    static base::node_id id(int number)
+    {
+        return base::node_id("r" + std::to_string(number));
+    }
+
+    void step()
+    {
+        now += 300ms;
+        for (int number = 0; number < size; ++number)
+        {
+            auto& state = states[number];
+            state.lost = relays[number].lost(now);
+            state.answers += state.follows && !cut[number] ? 1 : 0;
+            if (state.follows && cut[number])
+            {
+                relays[number].note_lost(now);
+            }
+            relays[number].set_own(1, state, true, now);
+        }
+        for (int from = 0; from < size; ++from)
+        {
+            for (int to = 0; to < size; ++to)
+            {
+                if (from != to && !silent[from] && !silent[to])
+                {
+                    relays[to].heard(id(from), 1, states[from], now);
+                }
+            }
+        }
+        for (int number = 0; number < size; ++number)
+        {
+            states[number].follows = relays[number].follows(now);
+        }
+    }
+
+    void run(base::duration span)
+    {
+        for (const auto until = now + span; now < until;)
+        {
+            step();
+        }
+    }
+
+    std::vector<int> followers() const
+    {
+        std::vector<int> out;
+        for (int number = 0; number < size; ++number)
+        {
+            if (states[number].follows && !cut[number] && !silent[number])
+            {
+                out.push_back(number);
+            }
+        }
+        return out;
+    }
+
+    base::time_point now = start;
+    std::vector<table_relay> relays;
+    std::vector<table_state> states;
+    /// Can't reach the store.
+    std::array<bool, size> cut{};
+    /// Dead or frozen.
+    std::array<bool, size> silent{};
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(table_relays, zone)
+
+BOOST_AUTO_TEST_CASE(two_routers_of_a_zone_ask_the_store_and_stay_the_same)
+{
+    run(1s);
+    const auto chosen = followers();
+    run(20s);
+
+    BOOST_TEST(chosen.size() == 2);
+    BOOST_TEST(followers() == chosen, boost::test_tools::per_element());
+}
+
+// Symptom: routers sent requests to an upstream that had left.
+// Sequence: both routers that asked the store for their zone died at one moment, or were cut off
+// from it, while an upstream said that it leaves.
+// Cause: those that rely on others don't notice by themselves.
+BOOST_AUTO_TEST_CASE(others_ask_within_the_notice_when_both_that_asked_are_gone)
+{
+    run(1s);
+    for (const auto number : followers())
+    {
+        silent[number] = true;
+    }
+    run(2400ms);
+
+    BOOST_TEST(followers().size() >= 2);
+}
+
+BOOST_AUTO_TEST_CASE(others_ask_within_the_notice_when_both_that_asked_are_cut_off_from_the_store)
+{
+    run(1s);
+    for (const auto number : followers())
+    {
+        cut[number] = true;
+    }
+    run(2400ms);
+
+    BOOST_TEST(followers().size() >= 2);
+}
+
+// Symptom: as above, with the next in line cut off too.
+BOOST_AUTO_TEST_CASE(a_router_that_nobody_confirms_asks_by_itself)
+{
+    run(1s);
+    for (int number = 0; number < size - 1; ++number)
+    {
+        cut[number] = true;
+    }
+    run(3s);
+
+    BOOST_TEST(states[size - 1].follows);
+}
+
+BOOST_AUTO_TEST_CASE(a_router_that_hears_nobody_asks_by_itself)
+{
+    run(1s);
+    silent.fill(true);
+    run(2s);
+
+    BOOST_TEST(states[0].follows);
+    BOOST_TEST(states[size - 1].follows);
+}
+
+BOOST_AUTO_TEST_CASE(in_a_small_zone_all_ask)
+{
+    table_relay relay(id(0), {.leaving_notice = 3000ms});
+    relay.set_own(1, {.follows = true, .answers = 1}, true, start);
+    for (int number = 1; number < 4; ++number)
+    {
+        relay.heard(id(number), 1, {.follows = true, .answers = 1}, start);
+    }
+
+    BOOST_TEST(relay.follows(start));
+}
+
+BOOST_AUTO_TEST_CASE(a_newer_copy_that_says_something_else_is_taken_over_once)
+{
+    run(1s);
+    const auto from = followers()[0];
+    const auto resting =
+        std::find_if(states.begin(), states.end(), [](const auto& each) { return !each.follows; });
+    auto& relay = relays[static_cast<std::size_t>(resting - states.begin())];
+    BOOST_TEST(!relay.source(now).has_value());
+
+    const table_state changed{.follows = true, .answers = 90, .revision = 9, .mark = mark + 1};
+    relay.heard(id(from), 1, changed, now);
+    BOOST_REQUIRE(relay.source(now).has_value());
+    BOOST_TEST(*relay.source(now) == id(from));
+    relay.note_copied(id(from), changed, now);
+
+    BOOST_TEST(!relay.source(now).has_value());
+    // One that lags behind is no source.
+    relay.heard(id(8), 1, {.follows = true, .answers = 91, .revision = 8, .mark = mark}, now);
+    BOOST_TEST(!relay.source(now).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
