Router: a call from before a rest says nothing; peers tell of upstreams that leave with the first word

Cause 1: a router stopped asking while its call was under way; that call failed, counted as an outage that nothing ended, and the directory held every removal back. Cause 2: on a VM of 0.12 cores in a burst a turn of the loop takes half a second, and asking for a copy takes four. Digests now name the lives that left or leave, which no request is sent to from then on for 4 s. Tests: six routers on the store's stand-in, with an outage; what a peer says holds at once, for a while, for that life only.

--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -181,7 +181,7 @@
     const auto doubts = core_.directory.doubts_since();
     if (doubts && peers_.store_held_since(*doubts, now))
     {
-        core_.directory.store_was_there();
+        core_.directory.store_was_there(now);
     }
     core_.directory.expire(now);
     core_.expire_waiting();
--- a/src/libcaraway/router/daemon_tables.cpp
+++ b/src/libcaraway/router/daemon_tables.cpp
@@ -284,7 +284,7 @@
     const auto& entry = decoded.value();
     const auto* known = core_.directory.find(entry.id);
     const bool news = known == nullptr || known->draining != entry.draining;
-    const auto change = core_.directory.put(entry);
+    const auto change = core_.directory.put(entry, core_.now());
     if (change == routing::upstream_directory::change::outdated)
     {
         return;
@@ -413,6 +413,7 @@
             .suspects = core_.crashes.entries(core_.now()),
             .refused = core_.refused.told(told_digests * peers_.period(), core_.now()),
             .readings = std::move(readings),
+            .leaving = core_.directory.leaving(now),
             .tables = tables()};
 }
 
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -193,6 +193,10 @@
     {
         relay_.heard(from.from, from.capacity, from.tables, now);
     }
+    for (const auto& each : from.leaving)
+    {
+        core_.directory.leaves(each, now);
+    }
     core_.board.set_peer(from.from, std::move(from.loads), now);
     core_.shares.set_peer(from.from, std::move(from.usages), now);
     core_.refused.merge(from.refused, now);
--- a/src/libcaraway/router/table_sync.cpp
+++ b/src/libcaraway/router/table_sync.cpp
@@ -77,6 +77,13 @@
 
 void table_sync::on_answer(bool whole, base::result<rows_answer> result)
 {
+    // Of a call from before the rest: peers are believed now, and a failure that counted as an
+    // outage would never end.
+    if (resting_)
+    {
+        pending_ = false;
+        return;
+    }
     const auto now = timers_.now();
     if (!result)
     {
--- a/src/libcaraway/routing/digest.cpp
+++ b/src/libcaraway/routing/digest.cpp
@@ -13,8 +13,8 @@
 using nlohmann::json;
 
 /// First field of each digest; another format gets another number.
-constexpr std::uint64_t format = 6;
-constexpr std::size_t fields = 19;
+constexpr std::uint64_t format = 7;
+constexpr std::size_t fields = 20;
 
 json endpoint_json(const endpoint& of)
 {
@@ -161,6 +161,27 @@
             .mark = from.at(4).get<std::uint64_t>()};
 }
 
+json leaving_json(const std::vector<leaving_upstream>& leaving)
+{
+    auto out = json::array();
+    for (const auto& each : leaving)
+    {
+        out.push_back({each.id.str(), each.born.count()});
+    }
+    return out;
+}
+
+std::vector<leaving_upstream> leaving_of(const json& from)
+{
+    std::vector<leaving_upstream> leaving;
+    for (const auto& each : from)
+    {
+        leaving.push_back({.id = base::upstream_id(each.at(0).get<std::string>()),
+                           .born = std::chrono::milliseconds(each.at(1).get<std::int64_t>())});
+    }
+    return leaving;
+}
+
 digest digest_of(const json& from)
 {
     return {.from = base::node_id(from.at(1).get<std::string>()),
@@ -180,6 +201,7 @@
             .suspects = suspects_of(from.at(15)),
             .refused = marks_of(from.at(16)),
             .readings = readings_of(from.at(17)),
+            .leaving = leaving_of(from.at(19)),
             .tables = tables_of(from.at(18))};
 }
 
@@ -187,13 +209,26 @@
 
 std::string encode(const digest& what)
 {
-    const auto all = json::array(
-        {format, what.from.str(), what.life, what.number, what.zone.str(),
-         endpoint_json(what.callers), endpoint_json(what.control), endpoint_json(what.datagrams),
-         what.ready, static_cast<std::uint64_t>(what.version), what.store_held.count(),
-         loads_json(what.loads), usages_json(what.usages), what.capacity, what.request_rate,
-         suspects_json(what.suspects), marks_json(what.refused), readings_json(what.readings),
-         tables_json(what.tables)});
+    const auto all = json::array({format,
+                                  what.from.str(),
+                                  what.life,
+                                  what.number,
+                                  what.zone.str(),
+                                  endpoint_json(what.callers),
+                                  endpoint_json(what.control),
+                                  endpoint_json(what.datagrams),
+                                  what.ready,
+                                  static_cast<std::uint64_t>(what.version),
+                                  what.store_held.count(),
+                                  loads_json(what.loads),
+                                  usages_json(what.usages),
+                                  what.capacity,
+                                  what.request_rate,
+                                  suspects_json(what.suspects),
+                                  marks_json(what.refused),
+                                  readings_json(what.readings),
+                                  tables_json(what.tables),
+                                  leaving_json(what.leaving)});
     std::string out;
     json::to_cbor(all, out);
     return out;
--- a/src/libcaraway/routing/digest.hpp
+++ b/src/libcaraway/routing/digest.hpp
@@ -47,6 +47,9 @@
     std::vector<request_mark> refused;
     /// What the sender saw of the engines' reading; empty in most digests, as it changes slowly.
     reading_records readings;
+    /// Upstreams that take no new requests, as the sender knows: told with each digest, as a busy
+    /// router takes a second longer to ask for a whole copy.
+    std::vector<leaving_upstream> leaving;
     /// The sender's copy of the platform's tables.
     table_state tables;
 };
--- a/src/libcaraway/routing/upstream_directory.cpp
+++ b/src/libcaraway/routing/upstream_directory.cpp
@@ -2,12 +2,14 @@
 
 #include "libcaraway/scheduling/stable_hash.hpp"
 
+#include <utility>
+
 namespace caraway::routing
 {
 
 upstream_directory::upstream_directory(directory_options options) : options_(options) {}
 
-upstream_directory::change upstream_directory::put(const upstream& entry)
+upstream_directory::change upstream_directory::put(const upstream& entry, base::time_point now)
 {
     const auto [start, first] = latest_start_.try_emplace(entry.id, entry.born);
     if (entry.born < start->second)
@@ -18,6 +20,14 @@
     start->second = entry.born;
     missing_.erase(entry.id);
     entries_[entry.id] = entry;
+    if (entry.draining)
+    {
+        leaving_.try_emplace(entry.id, entry.born, now);
+    }
+    else
+    {
+        leaving_.erase(entry.id);
+    }
     return restarted ? change::restarted : change::same_life;
 }
 
@@ -32,7 +42,7 @@
         missing_[id] = true;
         return;
     }
-    forget(id);
+    drop(id, now);
 }
 
 void upstream_directory::keep_only(const std::set<base::upstream_id>& listed, base::time_point now)
@@ -70,10 +80,10 @@
     grace_until_ = now + options_.return_grace;
 }
 
-void upstream_directory::store_was_there()
+void upstream_directory::store_was_there(base::time_point now)
 {
     grace_until_ = {};
-    drop_missing();
+    drop_missing(now);
 }
 
 std::optional<base::time_point> upstream_directory::doubts_since() const
@@ -85,17 +95,48 @@
 {
     if (!in_grace(now))
     {
-        drop_missing();
+        drop_missing(now);
+    }
+    for (auto* times : {&leaving_, &told_})
+    {
+        std::erase_if(*times, [&](const auto& each)
+                      { return each.second.second + options_.told_for <= now; });
+    }
+}
+
+void upstream_directory::drop_missing(base::time_point now)
+{
+    for (const auto& [id, unused] : std::exchange(missing_, {}))
+    {
+        drop(id, now);
+    }
+}
+
+void upstream_directory::drop(const base::upstream_id& id, base::time_point now)
+{
+    if (const auto* known = find(id))
+    {
+        leaving_.try_emplace(id, known->born, now);
     }
+    forget(id);
+}
+
+void upstream_directory::leaves(const leaving_upstream& what, base::time_point now)
+{
+    told_[what.id] = {what.born, now};
 }
 
-void upstream_directory::drop_missing()
+std::vector<leaving_upstream> upstream_directory::leaving(base::time_point now) const
 {
-    for (const auto& [id, unused] : missing_)
+    std::vector<leaving_upstream> out;
+    for (const auto& [id, each] : leaving_)
     {
-        entries_.erase(id);
+        if (each.second + options_.told_for > now)
+        {
+            out.push_back({.id = id, .born = each.first});
+        }
     }
-    missing_.clear();
+    return out;
 }
 
 void upstream_directory::forget(const base::upstream_id& id)
@@ -109,7 +150,9 @@
     std::vector<const upstream*> found;
     for (const auto& [id, entry] : entries_)
     {
-        if (entry.service == service && !entry.draining)
+        const auto told = told_.find(id);
+        const bool leaves = told != told_.end() && told->second.first == entry.born;
+        if (entry.service == service && !entry.draining && !leaves)
         {
             found.push_back(&entry);
         }
--- a/src/libcaraway/routing/upstream_directory.hpp
+++ b/src/libcaraway/routing/upstream_directory.hpp
@@ -37,11 +37,20 @@
     std::chrono::milliseconds born{};
 };
 
+/// A life of an upstream that takes no new requests.
+struct leaving_upstream
+{
+    base::upstream_id id;
+    std::chrono::milliseconds born{};
+};
+
 struct directory_options
 {
     /// Entries that lapsed while the platform's store was away are back within two seconds of its
     /// return if the upstream lives (the platform's contract); a little more for the way.
     std::chrono::milliseconds return_grace{2300};
+    /// How long peers are told of one that leaves: several digests of the largest fleets.
+    std::chrono::milliseconds told_for{4000};
 };
 
 /// The upstreams that may get requests. An entry that disappears normally means that its upstream
@@ -63,7 +72,7 @@
         /// Of a life that has ended; ignored.
         outdated,
     };
-    change put(const upstream& entry);
+    change put(const upstream& entry, base::time_point now = {});
     void remove(const base::upstream_id& id, base::time_point now);
     /// The whole listing: removes what it lacks.
     void keep_only(const std::set<base::upstream_id>& listed, base::time_point now);
@@ -72,15 +81,20 @@
     void store_back(base::time_point now);
     /// Another router has had the store all the while since this one lost it: it was this router
     /// that was cut off, upstreams could refresh their entries, and what is missing is gone.
-    void store_was_there();
+    void store_was_there(base::time_point now);
     /// When the store was lost last; nothing while no removal waits to be believed.
     std::optional<base::time_point> doubts_since() const;
     /// Drops what is still missing when the grace is over.
     void expire(base::time_point now);
+    /// A peer knows that it leaves: no new requests for a while, in which the own listing says so
+    /// too. Not for longer, as a peer may be wrong, or late.
+    void leaves(const leaving_upstream& what, base::time_point now);
+    /// Lives that left, or said that they do, in the last seconds; for peers.
+    std::vector<leaving_upstream> leaving(base::time_point now) const;
     /// It refused as another instance: whatever the listing says, it is gone for good.
     void forget(const base::upstream_id& id);
 
-    /// Upstreams of the service that aren't draining.
+    /// Upstreams of the service that take new requests.
     std::vector<const upstream*> usable(const base::service_id& service) const;
     const upstream* find(const base::upstream_id& id) const;
     std::size_t size() const
@@ -97,12 +111,18 @@
 
 private:
     bool in_grace(base::time_point now) const;
-    void drop_missing();
+    void drop_missing(base::time_point now);
+    void drop(const base::upstream_id& id, base::time_point now);
 
     directory_options options_;
     std::map<base::upstream_id, upstream> entries_;
     /// The latest start that was told of each id, also after its entry has gone.
     std::map<base::upstream_id, std::chrono::milliseconds> latest_start_;
+    using life_times =
+        std::map<base::upstream_id, std::pair<std::chrono::milliseconds, base::time_point>>;
+    /// Which life leaves, and since when that is known: here, and from peers.
+    life_times leaving_;
+    life_times told_;
     /// Listed no more, but not yet believed.
     std::map<base::upstream_id, bool> missing_;
     bool lost_ = false;
--- a/tests/routing/test_upstream_directory.cpp
+++ b/tests/routing/test_upstream_directory.cpp
@@ -106,7 +106,7 @@
     directory.remove(base::upstream_id("a"), start());
     BOOST_TEST((directory.doubts_since() == start() - 8s));
 
-    directory.store_was_there();
+    directory.store_was_there(start());
 
     BOOST_TEST(directory.usable(engines).empty());
 }
@@ -131,4 +131,32 @@
     BOOST_TEST(directory.size() == 0);
 }
 
+// Symptom: a busy router sent a request to an upstream 3 s after that had said that it leaves.
+// Sequence: peers told it that something had changed; it took a second and more to ask them what.
+// Cause: that an upstream leaves wasn't told with the first word.
+BOOST_AUTO_TEST_CASE(what_a_peer_says_of_one_that_leaves_holds_at_once_and_for_a_while)
+{
+    upstream_directory here;
+    upstream_directory there;
+    const base::service_id plain("plain");
+    upstream entry{.id = base::upstream_id("i-1"), .service = plain, .born = 1000ms};
+    here.put(entry, start());
+    there.put(entry, start());
+    there.remove(entry.id, start());
+    const auto told = there.leaving(start() + 1s);
+    BOOST_REQUIRE(told.size() == 1);
+
+    here.leaves(told[0], start() + 1s);
+    BOOST_TEST(here.usable(plain).empty());
+    here.expire(start() + 6s);
+    BOOST_TEST(here.usable(plain).size() == 1);
+    // Another life under the same id isn't meant.
+    here.leaves(told[0], start() + 7s);
+    entry.born = 2000ms;
+    here.put(entry, start() + 7s);
+    BOOST_TEST(here.usable(plain).size() == 1);
+    there.put(entry, start() + 7s);
+    BOOST_TEST(there.leaving(start() + 7s).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/users_platform/test_tables.cpp
+++ b/tests/users_platform/test_tables.cpp
@@ -327,4 +327,39 @@
     BOOST_TEST(!logged({"upstream_restarted", R"("born":1000)"}));
 }
 
+// Symptom: sixty routers asked the store sixty times as often as one would have to.
+// Then: a router sent requests to a runner that had left, and believed for good that the store was
+// away; it had stopped asking while its last call was under way, and that call failed.
+BOOST_AUTO_TEST_CASE(two_routers_of_a_zone_ask_the_store_and_all_know_what_changes)
+{
+    add(second);
+    for (int number = 1; number <= 6; ++number)
+    {
+        start_router("r" + std::to_string(number));
+    }
+    const auto asking = [&]
+    {
+        return std::count_if(routers.begin(), routers.end(),
+                             [](const auto& each)
+                             { return each->state()["asks_store"].template get<bool>(); });
+    };
+    const auto all_use = [&](const std::string& ids)
+    {
+        return std::all_of(routers.begin(), routers.end(),
+                           [&](const auto& each) { return usable(*each) == ids; });
+    };
+    BOOST_REQUIRE(becomes_true([&] { return asking() == 2 && all_use("i-1 i-2 "); }));
+
+    store.remove("servers", "i-2");
+    BOOST_TEST(becomes_true([&] { return all_use("i-1 "); }));
+    add(second);
+    BOOST_TEST(becomes_true([&] { return all_use("i-1 i-2 "); }));
+    store.away = true;
+    BOOST_TEST(becomes_true([&] { return logged({"store_lost", "upstreams"}); }));
+    BOOST_TEST(all_use("i-1 i-2 "));
+    store.away = false;
+    add(second, "plain", "draining");
+    BOOST_TEST(becomes_true([&] { return all_use("i-1 "); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
