Routing: the gap between two workspaces that ask too much is bounded; a router gives its own part of a share

Change: beyond its share a workspace gets nothing more at 1.6 times what another has that asks for more than its share and waits; a router serves as within the share 1.25 times its own part of it.

--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -194,6 +194,10 @@
 std::optional<routing::placement> request_session::find_place()
 {
     const auto terms = routing::admit(*route_, standing(), {});
+    if (terms.closed)
+    {
+        return std::nullopt;
+    }
     return core_.placer.choose({.of = service_,
                                 .prompt_tokens = facts_.prompt_tokens,
                                 .output_tokens = expected_output(),
--- a/src/libcaraway/routing/admission.cpp
+++ b/src/libcaraway/routing/admission.cpp
@@ -38,6 +38,10 @@
                 .slot_share = options.slots_beyond,
                 .hold = hold};
     }
+    if (of.gap >= options.widest_gap)
+    {
+        return {.hold = hold, .closed = true};
+    }
     const double part = 1 / (1 + options.ahead_slope * std::max(0.0, of.ahead - 1));
     return {.longest_wait = part_of(target, options.engine_wait_contended * part),
             .slot_share = options.slots_contended * part,
--- a/src/libcaraway/routing/admission.hpp
+++ b/src/libcaraway/routing/admission.hpp
@@ -28,6 +28,10 @@
     /// Tokens of shared parts that an engine may read anew for a request beyond its share while
     /// somebody is backlogged: such reading takes from those within theirs.
     std::uint32_t repeated_contended = 300;
+    /// A workspace beyond its share gets nothing more once it has had so many times what another
+    /// has that asks for more than its share and waits: that one's callers may all hold on to one
+    /// VM that can't carry more, and engines that would idle don't make up for it.
+    double widest_gap = 1.6;
     /// How fast both shrink for a workspace that is ahead of a backlogged one.
     double ahead_slope = 3;
     /// Requests that may wait at a router for each that fits an upstream's slots.
@@ -43,6 +47,8 @@
     std::uint32_t most_repeated = std::numeric_limits<std::uint32_t>::max();
     /// How long it may wait at the router; then it is refused.
     milliseconds hold{};
+    /// No place at all now.
+    bool closed = false;
 };
 
 admission_terms admit(const route& by, const standing& of, const admission_options& options = {});
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -117,17 +117,36 @@
 
 standing workspace_shares::of(const base::workspace_id& id, bool returned, base::time_point now)
 {
-    const double had = fill(id, now);
-    if (!returned || had >= 1 || capacity_ <= 0)
+    if (capacity_ <= 0)
     {
-        return {.fill = had, .ahead = ahead(id, now)};
+        return {};
     }
+    const double had = std::max(fill(id, now), own_fill(id, now) / options_.own_part);
     const auto& all = total_[id];
+    if (!returned || had >= 1)
+    {
+        return {.fill = had,
+                .ahead = had >= 1 ? all.served / least_backlogged_ : 0,
+                .gap = had >= 1 ? all.served / least_flooding_ : 0};
+    }
     const double wanted = all.asked / even_share_;
     return {.fill = std::max(had, wanted),
             .ahead = wanted >= 1 ? all.served / least_backlogged_ : 0};
 }
 
+double workspace_shares::own_fill(const base::workspace_id& id, base::time_point now)
+{
+    const auto& all = total_[id];
+    const auto found = own_.find(id);
+    if (found == own_.end() || all.asked <= even_share_)
+    {
+        return 0;
+    }
+    const auto mine = sum(found->second, now);
+    const double part = even_share_ * mine.asked / all.asked;
+    return part > 0 ? mine.served / part : 0;
+}
+
 std::int64_t workspace_shares::part_number(base::time_point now) const
 {
     const base::duration part = options_.window / static_cast<int>(parts);
@@ -191,6 +210,15 @@
     }
     const double seconds = std::chrono::duration<double>(options_.window).count();
     even_share_ = max_min_level(std::move(demands), capacity_ * seconds);
+    least_flooding_ = std::numeric_limits<double>::infinity();
+    for (const auto& [id, usage] : total_)
+    {
+        const bool waits = usage.served < options_.backlogged_below * usage.asked;
+        if (waits && usage.asked > even_share_)
+        {
+            least_flooding_ = std::min(least_flooding_, std::max(usage.served, 1.0));
+        }
+    }
 }
 
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/workspace_shares.hpp
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -4,6 +4,7 @@
 #include "libcaraway/base/ids.hpp"
 
 #include <array>
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -23,6 +24,9 @@
 {
     double fill = 0;
     double ahead = 0;
+    /// What it has had against the least that any workspace has had that asks for more than its
+    /// share; 0 while none of them waits, or within its own share.
+    double gap = 0;
 };
 
 using workspace_usages = std::map<base::workspace_id, workspace_usage>;
@@ -37,6 +41,11 @@
     std::chrono::milliseconds refresh{100};
     /// A workspace is backlogged that gets less than this part of what it asks.
     double backlogged_below = 0.92;
+    /// A router serves a workspace that asks more than its share no more than so many times the
+    /// part of it that this router's own requests make of all that the workspace asks. The others'
+    /// counts are up to half a second old in a large fleet; without this each of sixty routers took
+    /// what it saw as left of a share, and the workspace had twice as much.
+    double own_part = 1.25;
 };
 
 /// Divides by max-min what all engines give: a workspace that asks less than an even share gets all
@@ -76,6 +85,9 @@
     /// Parts of the window that are dropped at a time; a count is at most an eighth too old.
     static constexpr std::size_t parts = 8;
 
+    /// What this router gave of its own part; 0 for a workspace that asks less than its share.
+    double own_fill(const base::workspace_id& id, base::time_point now);
+
     struct sliding
     {
         std::array<workspace_usage, parts> part{};
@@ -103,6 +115,8 @@
     double even_share_ = 0;
     /// The least that a backlogged workspace has had; infinite if none is.
     double least_backlogged_ = 0;
+    /// The least of those that ask for more than an even share; infinite if none waits.
+    double least_flooding_ = std::numeric_limits<double>::infinity();
     base::time_point allocated_{};
 };
 
