HTTP: an answer is under way until its last byte is sent

Found by reading; ruled out: a deadline, a lost upstream. Change: a connection counts as answering while bytes wait or are being written. Test: a caller that hasn't read yet; 0 under way before, 1 now, until it has read all.

--- a/src/libcaraway/http/server_connection.hpp
+++ b/src/libcaraway/http/server_connection.hpp
@@ -102,9 +102,11 @@
     void start();
     /// Closes it unless a request is being read or answered; whether it did.
     bool close_if_idle();
+    /// Until the last byte of an answer is with the machine's network: a process that ends before
+    /// cuts an answer that was whole.
     bool is_answering() const
     {
-        return current_ != nullptr;
+        return !closed_ && (current_ != nullptr || writing_ || !out_.empty());
     }
 
 private:
--- a/tests/http/test_server_connection.cpp
+++ b/tests/http/test_server_connection.cpp
@@ -330,4 +330,23 @@
     BOOST_TEST(!left);
 }
 
+// Symptom: on a planned stop a caller's answer was closed in the middle, though its upstream had
+// ended it whole 14 ms before.
+// Sequence: the last answer ended; its caller read slowly, so bytes still waited; nothing was under
+// way any more, so the process ended.
+// Cause: an answer counted as over once it was handed to its connection.
+BOOST_AUTO_TEST_CASE(an_answer_is_under_way_until_its_last_byte_is_sent)
+{
+    const auto end = caller();
+    end->say(get);
+    BOOST_REQUIRE(becomes_true([&] { return requests.size() == 1; }));
+    constexpr std::size_t more_than_sockets_hold = 32U << 20U;
+    requests.back()->respond(http::make_response(http::status::ok),
+                             std::string(more_than_sockets_hold, 'a'));
+
+    BOOST_TEST(listener.answering() == 1);
+    BOOST_TEST(becomes_true([&] { return end->heard.size() > more_than_sockets_hold; }));
+    BOOST_TEST(becomes_true([&] { return listener.answering() == 0; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
