--- a/src/libcaraway/router/daemon_tables.cpp
+++ b/src/libcaraway/router/daemon_tables.cpp
@@ -1,4 +1,4 @@
-// What a router learns from the store and its peers, and tells them.
+// What a router learns from the store, and writes there.
 #include "libcaraway/router/daemon.hpp"
 
 namespace caraway::router
@@ -9,8 +9,6 @@
 
 using std::chrono::milliseconds;
 
-/// How often a peer is asked while this router can't reach the store.
-constexpr milliseconds ask_period{300};
 /// A table of routers that start and stop rarely, and say so themselves.
 constexpr milliseconds routers_period{15000};
 /// A router that doesn't ask the store of upstreams reads that table so many times more rarely.
@@ -33,10 +31,6 @@
 constexpr double hold_of_notice = 0.3;
 constexpr milliseconds shared_gap{200};
 constexpr milliseconds longest_hold{2500};
-/// How fast engines read changes within seconds.
-constexpr milliseconds readings_period{1000};
-/// A refused request is told of in so many digests, as datagrams get lost.
-constexpr int told_digests = 2;
 /// Calls of a router that rests: the longest hold but for a margin that the store allows (30 s),
 /// and pauses after failures.
 constexpr milliseconds resting_hold{25000};
@@ -83,88 +77,6 @@
     upstreams_->start();
 }
 
-void daemon::ask_peers(base::time_point now)
-{
-    if (now < next_ask_)
-    {
-        return;
-    }
-    next_ask_ = now + ask_period;
-    if (const auto* newer = peers_.newer(core_.version(), now))
-    {
-        link_.ask(newer->control);
-        return;
-    }
-    if (const auto source = upstreams_->resting() ? relay_.source(now) : std::nullopt)
-    {
-        link_.ask(peers_.all().at(*source).control);
-        return;
-    }
-    const bool lost = upstreams_->lost() || configurations_->lost();
-    if (!lost && knows_all())
-    {
-        return;
-    }
-    if (const auto* fresh = peers_.with_store(now))
-    {
-        link_.ask(fresh->control);
-        return;
-    }
-    // Nobody that reaches the store is heard: a new VM that the store turns away knows no peer, and
-    // no peer knows it, until a router named in the settings tells of both.
-    if (!core_.options.seeds.empty())
-    {
-        link_.ask(core_.options.seeds[seed_++ % core_.options.seeds.size()]);
-    }
-}
-
-void daemon::choose_source(base::time_point now)
-{
-    if (upstreams_->lost())
-    {
-        relay_.note_lost(now);
-    }
-    relay_.set_leaving_notice(core_.options.leaving_notice);
-    relay_.set_own(core_.options.capacity, tables(),
-                   upstreams_->has_read() && configurations_->has_read(), now);
-    tell_changes();
-    const bool follows = relay_.follows(now);
-    if (follows != upstreams_->resting())
-    {
-        return;
-    }
-    core_.log.line("store_source", {{"asks_store", follows}, {"revision", upstreams_->revision()}});
-    if (follows)
-    {
-        upstreams_->wake();
-    }
-    else
-    {
-        upstreams_->rest();
-    }
-    set_shares_of_limits();
-}
-
-routing::table_state daemon::tables() const
-{
-    return {.follows = !upstreams_->resting(),
-            .lost = relay_.lost(core_.now()),
-            .answers = upstreams_->answers(),
-            .revision = upstreams_->revision(),
-            .mark = core_.directory.mark()};
-}
-
-void daemon::tell_changes()
-{
-    const auto mark = core_.directory.mark();
-    const bool tells = !upstreams_->resting() && mark != told_mark_;
-    told_mark_ = mark;
-    if (tells)
-    {
-        link_.tell_zone();
-    }
-}
-
 void daemon::tell_store(base::time_point now)
 {
     if (store_busy_)
@@ -323,135 +235,6 @@
     }
 }
 
-void daemon::take_routers(const std::vector<row>& rows)
-{
-    const auto now = core_.now();
-    for (const auto& each : rows)
-    {
-        auto decoded = routing::decode(each.value);
-        if (!decoded)
-        {
-            core_.log.line("router_row_unreadable", {{"router", each.key}});
-            continue;
-        }
-        const auto& of = decoded.value();
-        peers_.introduce({.id = of.from,
-                          .life = of.life,
-                          .zone = of.zone,
-                          .callers = of.callers,
-                          .control = of.control,
-                          .datagrams = of.datagrams},
-                         now);
-    }
-}
-
-void daemon::take_copy(const table_copy& copy)
-{
-    if (copy.version > core_.version())
-    {
-        take_configuration(copy.configuration, "peer");
-    }
-    for (const auto& each : copy.routers)
-    {
-        peers_.introduce(each, core_.now());
-    }
-    const bool resting = upstreams_->resting();
-    const bool newer = resting && copy.state.revision >= upstreams_->revision();
-    const bool needed = newer || upstreams_->lost() || !upstreams_->has_read();
-    if (!needed || copy.upstreams.empty())
-    {
-        return;
-    }
-    take_upstreams(copy.upstreams, true);
-    if (resting)
-    {
-        upstreams_->adopt(copy.state.revision);
-        relay_.note_copied(copy.from, copy.state, core_.now());
-    }
-}
-
-table_copy daemon::make_copy(base::config_version peer_has) const
-{
-    table_copy copy{.from = core_.options.name, .version = core_.version(), .state = tables()};
-    if (peer_has < copy.version)
-    {
-        copy.configuration = configuration_text_;
-    }
-    // What the directory believes, not what the store lists: around an outage entries lapse there
-    // that this router still holds, and a peer takes the copy for the whole truth.
-    for (const auto& [key, value] : upstream_rows_)
-    {
-        if (core_.directory.find(base::upstream_id(key)) != nullptr)
-        {
-            copy.upstreams.push_back({.key = key, .value = value});
-        }
-    }
-    for (const auto& [id, each] : peers_.all())
-    {
-        copy.routers.push_back(each);
-    }
-    copy.routers.push_back(self());
-    return copy;
-}
-
-routing::digest daemon::make_digest()
-{
-    const auto& at = core_.options;
-    const auto now = core_.now();
-    routing::reading_records readings;
-    if (now >= next_readings_)
-    {
-        next_readings_ = now + readings_period;
-        core_.pace.refresh(now);
-        readings = core_.pace.own(now);
-    }
-    return {.from = at.name,
-            .life = life_,
-            .number = ++digests_,
-            .zone = at.zone,
-            .callers = at.callers,
-            .control = at.control,
-            .datagrams = at.datagrams,
-            .ready = ready(),
-            .capacity = at.capacity,
-            .request_rate = request_rate_,
-            .version = core_.version(),
-            .store_held = std::chrono::duration_cast<milliseconds>(upstreams_->held(core_.now())),
-            .loads = core_.board.own(),
-            .usages = core_.shares.own(core_.now()),
-            .suspects = core_.crashes.entries(core_.now()),
-            .refused = core_.refused.told(told_digests * peers_.period(), core_.now()),
-            .readings = std::move(readings),
-            .leaving = core_.directory.leaving(now),
-            .tables = tables()};
-}
-
-routing::peer daemon::self() const
-{
-    const auto& at = core_.options;
-    return {.id = at.name,
-            .life = life_,
-            .zone = at.zone,
-            .callers = at.callers,
-            .control = at.control,
-            .datagrams = at.datagrams,
-            .ready = ready(),
-            .capacity = at.capacity,
-            .request_rate = request_rate_};
-}
-
-row daemon::own_row() const
-{
-    const auto& at = core_.options;
-    const routing::digest self{.from = at.name,
-                               .life = life_,
-                               .zone = at.zone,
-                               .callers = at.callers,
-                               .control = at.control,
-                               .datagrams = at.datagrams};
-    return {.key = at.name.str(), .value = routing::encode(self)};
-}
-
 bool daemon::knows_all() const
 {
     return core_.table() != nullptr && core_.directory.size() > 0;
