--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -53,8 +53,8 @@
     /// Starts or ends asking the store, as the zone's other routers stand.
     void choose_source(base::time_point now);
     routing::table_state tables() const;
-    /// Tells the zone at once of what the store changed.
-    void tell_changes();
+    /// Tells the zone at once of what the store changed: the copy's mark is another.
+    void tell_changes(std::uint64_t mark);
     void tell_store(base::time_point now);
     void progress_stop(base::time_point now);
     void set_shares_of_limits();
--- a/src/libcaraway/router/daemon_peers.cpp
+++ b/src/libcaraway/router/daemon_peers.cpp
@@ -61,9 +61,10 @@
         relay_.note_lost(now);
     }
     relay_.set_leaving_notice(core_.options.leaving_notice);
-    relay_.set_own(core_.options.capacity, tables(),
+    const auto own = tables();
+    relay_.set_own(core_.options.capacity, own,
                    upstreams_->has_read() && configurations_->has_read(), now);
-    tell_changes();
+    tell_changes(own.mark);
     const bool follows = relay_.follows(now);
     if (follows != upstreams_->resting())
     {
@@ -90,9 +91,8 @@
             .mark = core_.directory.mark()};
 }
 
-void daemon::tell_changes()
+void daemon::tell_changes(std::uint64_t mark)
 {
-    const auto mark = core_.directory.mark();
     const bool tells = !upstreams_->resting() && mark != told_mark_;
     told_mark_ = mark;
     if (tells)
