Telemetry, Router: lines about requests displace no others; who told of an upstream, and of which revision

All lines shared 250 a second; in the flood one of eight routers dropped the two lines that mattered among 280 others. A line of an upstream didn't say whether the store or a peer had told, nor whether a removal was believed. Ruled out: that the lines were cut by the reader (the router's own count of dropped lines rises at that moment). Change: lines about requests, attempts and health have an allowance of their own and leave a quarter of the waiting room; an upstream's lines name their source and revision, removals their outcome; health lines come only when something changed.

--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -134,12 +134,14 @@
         }
     }
     const bool was_ejected = health.ejected(id, now());
-    if (health.note(id, result, peers, now()))
+    health.note(id, result, peers, now());
+    const bool is_ejected = health.ejected(id, now());
+    if (is_ejected != was_ejected)
     {
-        log.line("upstream_health", {{"upstream", id.str()},
-                                     {"ejected", health.ejected(id, now())},
-                                     {"before", was_ejected},
-                                     {"because", scheduling::name(result)}});
+        // Where upstreams fail part of what they get, hundreds of these come a second.
+        log.request_line("upstream_health", {{"upstream", id.str()},
+                                             {"ejected", is_ejected},
+                                             {"because", scheduling::name(result)}});
     }
 }
 
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -182,12 +182,7 @@
         counted_requests_ = core_.requests;
         next_rate_ = now + rate_period;
     }
-    const auto doubts = core_.directory.doubts_since();
-    if (doubts && peers_.store_held_since(*doubts, now))
-    {
-        core_.directory.store_was_there(now);
-    }
-    core_.directory.expire(now);
+    drop_missing(now);
     core_.expire_waiting();
     core_.pump();
     choose_source(now);
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -60,8 +60,11 @@
     void set_shares_of_limits();
 
     void take_configuration(const std::string& text, std::string_view from);
-    void take_upstreams(const std::vector<row>& rows, bool whole);
-    void take_upstream(const row& from);
+    /// `from` names the store or the peer that told them.
+    void take_upstreams(const std::vector<row>& rows, bool whole, std::string_view from);
+    void take_upstream(const row& each, std::string_view from);
+    /// Drops upstreams whose removal waited until nothing could bring them back.
+    void drop_missing(base::time_point now);
     /// An entry that doesn't tell of an upstream that may be used.
     void drop_unreadable(const row& from, const base::error& why);
     void take_routers(const std::vector<row>& rows);
--- a/src/libcaraway/router/daemon_peers.cpp
+++ b/src/libcaraway/router/daemon_peers.cpp
@@ -140,7 +140,7 @@
     {
         return;
     }
-    take_upstreams(copy.upstreams, true);
+    take_upstreams(copy.upstreams, true, copy.from.str());
     if (resting)
     {
         upstreams_->adopt(copy.state.revision);
--- a/src/libcaraway/router/daemon_tables.cpp
+++ b/src/libcaraway/router/daemon_tables.cpp
@@ -65,8 +65,9 @@
     upstreams_ = std::make_unique<table_sync>(
         "upstreams", core_.timers, core_.log, platform.upstreams,
         routing::follower_options{.gap = upstreams_gap},
-        table_sync::events{.all = [this](const auto& rows) { take_upstreams(rows, true); },
-                           .changed = [this](const auto& rows) { take_upstreams(rows, false); },
+        table_sync::events{.all = [this](const auto& rows) { take_upstreams(rows, true, "store"); },
+                           .changed = [this](const auto& rows)
+                           { take_upstreams(rows, false, "store"); },
                            .lost = [this] { core_.directory.store_lost(core_.now()); },
                            .back =
                                [this]
@@ -165,7 +166,7 @@
     }
 }
 
-void daemon::take_upstreams(const std::vector<row>& rows, bool whole)
+void daemon::take_upstreams(const std::vector<row>& rows, bool whole, std::string_view from)
 {
     const auto now = core_.now();
     std::set<base::upstream_id> listed;
@@ -178,30 +179,56 @@
     {
         if (each.removed)
         {
-            core_.log.line("upstream_removed", {{"upstream", each.key}});
             unreadable_.erase(each.key);
-            core_.directory.remove(base::upstream_id(each.key), now);
+            const auto done = core_.directory.remove(base::upstream_id(each.key), now);
+            core_.log.line("upstream_removed", {{"upstream", each.key},
+                                                {"from", from},
+                                                {"revision", upstreams_->revision()},
+                                                {"outcome", routing::name(done)}});
             continue;
         }
         listed.insert(base::upstream_id(each.key));
-        take_upstream(each);
+        take_upstream(each, from);
     }
     if (whole)
     {
-        core_.directory.keep_only(listed, now);
+        for (const auto& id : core_.directory.keep_only(listed, now))
+        {
+            core_.log.line("upstream_removed", {{"upstream", id.str()},
+                                                {"from", from},
+                                                {"revision", upstreams_->revision()},
+                                                {"outcome", "not_in_listing"}});
+        }
     }
     core_.pump();
 }
 
-void daemon::take_upstream(const row& from)
+void daemon::drop_missing(base::time_point now)
+{
+    const auto log_dropped = [&](const auto& dropped, std::string_view outcome)
+    {
+        for (const auto& id : dropped)
+        {
+            core_.log.line("upstream_removed", {{"upstream", id.str()}, {"outcome", outcome}});
+        }
+    };
+    const auto doubts = core_.directory.doubts_since();
+    if (doubts && peers_.store_held_since(*doubts, now))
+    {
+        log_dropped(core_.directory.store_was_there(now), "store_was_there");
+    }
+    log_dropped(core_.directory.expire(now), "grace_over");
+}
+
+void daemon::take_upstream(const row& each, std::string_view from)
 {
-    auto decoded = platform_.decode_upstream(from);
+    auto decoded = platform_.decode_upstream(each);
     if (!decoded)
     {
-        drop_unreadable(from, decoded.error());
+        drop_unreadable(each, decoded.error());
         return;
     }
-    unreadable_.erase(from.key);
+    unreadable_.erase(each.key);
     const auto& entry = decoded.value();
     const auto* known = core_.directory.find(entry.id);
     const bool news = known == nullptr || known->draining != entry.draining;
@@ -210,13 +237,15 @@
     {
         return;
     }
-    upstream_rows_[from.key] = from.value;
+    upstream_rows_[each.key] = each.value;
     if (news)
     {
-        core_.log.line("upstream", {{"upstream", from.key},
+        core_.log.line("upstream", {{"upstream", each.key},
                                     {"service", entry.service.str()},
                                     {"address", entry.address.ip},
-                                    {"draining", entry.draining}});
+                                    {"draining", entry.draining},
+                                    {"from", from},
+                                    {"revision", upstreams_->revision()}});
     }
     if (change == routing::upstream_directory::change::restarted)
     {
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -300,12 +300,13 @@
     }
     if (how != attempt_end::answered && last)
     {
-        core_.log.line("attempt", {{"request", facts_.id.str()},
-                                   {"upstream", last->place.where.id.str()},
-                                   {"end", routing::name(how)},
-                                   {"status", last->head ? last->head->result_int() : 0},
-                                   {"took_ms", milliseconds_of(core_.now() - last->sent).count()},
-                                   {"next", routing::name(step)}});
+        core_.log.request_line("attempt",
+                               {{"request", facts_.id.str()},
+                                {"upstream", last->place.where.id.str()},
+                                {"end", routing::name(how)},
+                                {"status", last->head ? last->head->result_int() : 0},
+                                {"took_ms", milliseconds_of(core_.now() - last->sent).count()},
+                                {"next", routing::name(step)}});
     }
     switch (step)
     {
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -99,7 +99,7 @@
                     .help = "Time from a request's first byte to its end, in seconds."},
                    {{"outcome", std::string(outcome)}})
         .observe(core_.now() - request_->arrived());
-    if (core_.log.takes_line())
+    if (core_.log.takes_request_line())
     {
         log_end(outcome, status, reason);
     }
@@ -149,7 +149,7 @@
         line["first_ms"] = milliseconds_of(first_piece_ - request_->arrived()).count();
         line["pause_ms"] = milliseconds_of(longest_pause_).count();
     }
-    core_.log.line("request", line);
+    core_.log.request_line("request", line);
 }
 
 }  // namespace caraway::router
--- a/src/libcaraway/router/request_silence.cpp
+++ b/src/libcaraway/router/request_silence.cpp
@@ -64,12 +64,12 @@
     }
     const auto keep = shared_from_this();
     const auto& id = attempt_->place.where.id;
-    core_.log.line("attempt", {{"request", facts_.id.str()},
-                               {"upstream", id.str()},
-                               {"end", "silent"},
-                               {"took_ms", milliseconds_of(now - attempt_->sent).count()},
-                               {"silent_ms", silent.count()},
-                               {"next", "resume"}});
+    core_.log.request_line("attempt", {{"request", facts_.id.str()},
+                                       {"upstream", id.str()},
+                                       {"end", "silent"},
+                                       {"took_ms", milliseconds_of(now - attempt_->sent).count()},
+                                       {"silent_ms", silent.count()},
+                                       {"next", "resume"}});
     core_.note_attempt(id, service_->id, scheduling::attempt_result::failed);
     may_have_run_ = true;
     release_attempt();
--- a/src/libcaraway/routing/upstream_directory.cpp
+++ b/src/libcaraway/routing/upstream_directory.cpp
@@ -31,21 +31,24 @@
     return restarted ? change::restarted : change::same_life;
 }
 
-void upstream_directory::remove(const base::upstream_id& id, base::time_point now)
+upstream_directory::removal upstream_directory::remove(const base::upstream_id& id,
+                                                       base::time_point now)
 {
     if (!entries_.contains(id))
     {
-        return;
+        return removal::not_listed;
     }
     if (in_grace(now) && !entries_.at(id).draining)
     {
         missing_[id] = true;
-        return;
+        return removal::waits;
     }
     drop(id, now);
+    return removal::believed;
 }
 
-void upstream_directory::keep_only(const std::set<base::upstream_id>& listed, base::time_point now)
+std::vector<base::upstream_id>
+upstream_directory::keep_only(const std::set<base::upstream_id>& listed, base::time_point now)
 {
     std::vector<base::upstream_id> absent;
     for (const auto& [id, entry] : entries_)
@@ -55,10 +58,15 @@
             absent.push_back(id);
         }
     }
+    std::vector<base::upstream_id> removed;
     for (const auto& id : absent)
     {
-        remove(id, now);
+        if (remove(id, now) == removal::believed)
+        {
+            removed.push_back(id);
+        }
     }
+    return removed;
 }
 
 void upstream_directory::store_lost(base::time_point now)
@@ -80,10 +88,10 @@
     grace_until_ = now + options_.return_grace;
 }
 
-void upstream_directory::store_was_there(base::time_point now)
+std::vector<base::upstream_id> upstream_directory::store_was_there(base::time_point now)
 {
     grace_until_ = {};
-    drop_missing(now);
+    return drop_missing(now);
 }
 
 std::optional<base::time_point> upstream_directory::doubts_since() const
@@ -91,25 +99,26 @@
     return missing_.empty() || lost_ ? std::nullopt : std::optional(lost_since_);
 }
 
-void upstream_directory::expire(base::time_point now)
+std::vector<base::upstream_id> upstream_directory::expire(base::time_point now)
 {
-    if (!in_grace(now))
-    {
-        drop_missing(now);
-    }
+    auto dropped = in_grace(now) ? std::vector<base::upstream_id>{} : drop_missing(now);
     for (auto* times : {&leaving_, &told_})
     {
         std::erase_if(*times, [&](const auto& each)
                       { return each.second.second + options_.told_for <= now; });
     }
+    return dropped;
 }
 
-void upstream_directory::drop_missing(base::time_point now)
+std::vector<base::upstream_id> upstream_directory::drop_missing(base::time_point now)
 {
+    std::vector<base::upstream_id> dropped;
     for (const auto& [id, unused] : std::exchange(missing_, {}))
     {
         drop(id, now);
+        dropped.push_back(id);
     }
+    return dropped;
 }
 
 void upstream_directory::drop(const base::upstream_id& id, base::time_point now)
@@ -188,4 +197,18 @@
     return lost_ || now < grace_until_;
 }
 
+std::string_view name(upstream_directory::removal of)
+{
+    switch (of)
+    {
+    case upstream_directory::removal::not_listed:
+        return "not_listed";
+    case upstream_directory::removal::believed:
+        return "believed";
+    case upstream_directory::removal::waits:
+        return "waits";
+    }
+    return "unknown";
+}
+
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/upstream_directory.hpp
+++ b/src/libcaraway/routing/upstream_directory.hpp
@@ -73,19 +73,30 @@
         outdated,
     };
     change put(const upstream& entry, base::time_point now = {});
-    void remove(const base::upstream_id& id, base::time_point now);
-    /// The whole listing: removes what it lacks.
-    void keep_only(const std::set<base::upstream_id>& listed, base::time_point now);
+    /// What came of a removal.
+    enum class removal
+    {
+        not_listed,
+        /// It gets nothing more.
+        believed,
+        /// It may be back: it is kept until the grace is over.
+        waits,
+    };
+    removal remove(const base::upstream_id& id, base::time_point now);
+    /// The whole listing: removes what it lacks. Returns what it removed.
+    std::vector<base::upstream_id> keep_only(const std::set<base::upstream_id>& listed,
+                                             base::time_point now);
 
     void store_lost(base::time_point now);
     void store_back(base::time_point now);
     /// Another router has had the store all the while since this one lost it: it was this router
     /// that was cut off, upstreams could refresh their entries, and what is missing is gone.
-    void store_was_there(base::time_point now);
+    /// Returns what it dropped.
+    std::vector<base::upstream_id> store_was_there(base::time_point now);
     /// When the store was lost last; nothing while no removal waits to be believed.
     std::optional<base::time_point> doubts_since() const;
-    /// Drops what is still missing when the grace is over.
-    void expire(base::time_point now);
+    /// Drops what is still missing when the grace is over, and returns it.
+    std::vector<base::upstream_id> expire(base::time_point now);
     /// A peer knows that it leaves: no new requests for a while, in which the own listing says so
     /// too. Not for longer, as a peer may be wrong, or late.
     void leaves(const leaving_upstream& what, base::time_point now);
@@ -111,7 +122,7 @@
 
 private:
     bool in_grace(base::time_point now) const;
-    void drop_missing(base::time_point now);
+    std::vector<base::upstream_id> drop_missing(base::time_point now);
     void drop(const base::upstream_id& id, base::time_point now);
 
     directory_options options_;
@@ -130,4 +141,7 @@
     base::time_point grace_until_{};
 };
 
+/// For log lines.
+std::string_view name(upstream_directory::removal of);
+
 }  // namespace caraway::routing
--- a/src/libcaraway/telemetry/line_log.cpp
+++ b/src/libcaraway/telemetry/line_log.cpp
@@ -20,38 +20,43 @@
 }  // namespace
 
 line_log::line_log(const base::clock& clock, sink out, log_options options)
-    : clock_(clock), out_(std::move(out)), options_(options), allowance_(options.burst),
-      refilled_(clock.now())
+    : clock_(clock), out_(std::move(out)),
+      options_(options), requests_{.per_second = options.request_lines_per_second,
+                                   .burst = options.request_burst,
+                                   .max_waiting = static_cast<std::size_t>(
+                                       options.request_part *
+                                       static_cast<double>(options.max_waiting)),
+                                   .left = options.request_burst,
+                                   .refilled = clock.now()},
+      others_{.per_second = options.lines_per_second,
+              .burst = options.burst,
+              .max_waiting = options.max_waiting,
+              .left = options.burst,
+              .refilled = clock.now()}
 {
 }
 
 void line_log::line(std::string_view event, const nlohmann::ordered_json& fields)
 {
-    if (!admit())
-    {
-        ++dropped_;
-        return;
-    }
-    append(event, fields);
+    add(others_, event, fields);
 }
 
-bool line_log::takes_line()
+bool line_log::takes_request_line()
 {
-    refill();
-    if (has_room())
-    {
-        return true;
-    }
-    ++dropped_;
-    return false;
+    return has_room(requests_);
+}
+
+void line_log::request_line(std::string_view event, const nlohmann::ordered_json& fields)
+{
+    add(requests_, event, fields);
 }
 
 void line_log::flush()
 {
-    if (dropped_ > reported_ && waiting_.size() < options_.max_waiting / 2)
+    if (dropped() > reported_ && waiting_.size() < options_.max_waiting / 2)
     {
-        append("lines_dropped", {{"total", dropped_}});
-        reported_ = dropped_;
+        append("lines_dropped", {{"total", dropped()}, {"not_of_requests", others_.dropped}});
+        reported_ = dropped();
     }
     if (!waiting_.empty())
     {
@@ -60,28 +65,24 @@
     }
 }
 
-bool line_log::admit()
-{
-    refill();
-    if (!has_room())
-    {
-        return false;
-    }
-    allowance_ -= 1;
-    return true;
-}
-
-void line_log::refill()
+bool line_log::has_room(allowance& of)
 {
     const auto now = clock_.now();
-    const double seconds = std::chrono::duration<double>(now - refilled_).count();
-    allowance_ = std::min(options_.burst, allowance_ + seconds * options_.lines_per_second);
-    refilled_ = now;
+    const double seconds = std::chrono::duration<double>(now - of.refilled).count();
+    of.left = std::min(of.burst, of.left + seconds * of.per_second);
+    of.refilled = now;
+    const bool room = of.left >= 1 && waiting_.size() < of.max_waiting;
+    of.dropped += room ? 0 : 1;
+    return room;
 }
 
-bool line_log::has_room() const
+void line_log::add(allowance& of, std::string_view event, const nlohmann::ordered_json& fields)
 {
-    return allowance_ >= 1 && waiting_.size() < options_.max_waiting;
+    if (has_room(of))
+    {
+        of.left -= 1;
+        append(event, fields);
+    }
 }
 
 void line_log::append(std::string_view event, const nlohmann::ordered_json& fields)
