--- a/tests/users_platform/stand_in_store.cpp
+++ b/tests/users_platform/stand_in_store.cpp
@@ -56,14 +56,22 @@
 void stand_in_store::put(const std::string& table, const std::string& key, const std::string& value)
 {
     tables_[table][key] = {.value = value, .version = ++version_};
-    note_change(table, key);
+    note_change(table, key, value);
 }
 
 void stand_in_store::remove(const std::string& table, const std::string& key)
 {
     tables_[table].erase(key);
     ++version_;
-    note_change(table, key);
+    note_change(table, key, std::nullopt);
+}
+
+void stand_in_store::become_copy_of(const stand_in_store& other)
+{
+    tables_ = other.tables_;
+    history_ = other.history_;
+    version_ = other.version_;
+    forgotten_ = other.forgotten_;
 }
 
 bool stand_in_store::has(const std::string& table, const std::string& key) const
@@ -78,9 +86,11 @@
     history_.clear();
 }
 
-void stand_in_store::note_change(const std::string& table, const std::string& key)
+void stand_in_store::note_change(const std::string& table, const std::string& key,
+                                 std::optional<std::string> value)
 {
-    history_.push_back({.version = version_, .table = table, .key = key});
+    history_.push_back(
+        {.version = version_, .table = table, .key = key, .value = std::move(value)});
     wake();
 }
 
@@ -197,15 +207,13 @@
             continue;
         }
         json row{{"table", table}, {"part", ""}, {"key", each.key}, {"ver", each.version}};
-        const auto& known = tables_.at(table);
-        const auto found = known.find(each.key);
-        if (found == known.end())
+        if (each.value)
         {
-            row["removed"] = true;
+            row["value"] = to_base64(*each.value);
         }
         else
         {
-            row["value"] = to_base64(found->second.value);
+            row["removed"] = true;
         }
         rows.push_back(std::move(row));
     }
--- a/tests/users_platform/stand_in_store.hpp
+++ b/tests/users_platform/stand_in_store.hpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,9 @@
 
     void put(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& key);
+    /// Holds from now on what the other one holds: two views of one store, one of which a router
+    /// gets late.
+    void become_copy_of(const stand_in_store& other);
     bool has(const std::string& table, const std::string& key) const;
     /// Changes so far can't be followed any more.
     void forget_history();
@@ -45,6 +49,9 @@
         std::uint64_t version = 0;
         std::string table;
         std::string key;
+        /// As it was written then; nothing: removed. Who follows from before gets each change,
+        /// not only the last.
+        std::optional<std::string> value;
     };
     struct waiter
     {
@@ -60,7 +67,8 @@
                      const std::string& table, std::uint64_t after, std::chrono::milliseconds hold);
     void answer_transaction(const std::shared_ptr<caraway::http::exchange>& request);
     nlohmann::json changes(const std::string& table, std::uint64_t after) const;
-    void note_change(const std::string& table, const std::string& key);
+    void note_change(const std::string& table, const std::string& key,
+                     std::optional<std::string> value);
     void wake();
 
     caraway::http::timer_queue& timers_;
