Routing, Router: of each upstream the statement written last counts, not the one that came last

Cause: an upstream that had left was used again because an older statement about it was applied after a newer one. The same class was open: a router that loses the store took over a peer's older copy; an answer repeated what a peer's copy had overtaken; a whole listing removed what was newer. Change: rows carry the store's revision, also between peers; the directory keeps the last revision of each entry, for an hour after it has gone, and ignores what is older; a listing removes only what isn't newer than itself. What refused as another instance isn't brought back by a statement from before. A peer's copy that is taken over is logged.

--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -60,9 +60,13 @@
     void set_shares_of_limits();
 
     void take_configuration(const std::string& text, std::string_view from);
-    /// `from` names the store or the peer that told them.
-    void take_upstreams(const std::vector<row>& rows, bool whole, std::string_view from);
+    /// `from` names the store or the peer that told them. A whole listing is current up to
+    /// `whole_at`.
+    void take_upstreams(const std::vector<row>& rows, std::optional<std::uint64_t> whole_at,
+                        std::string_view from);
     void take_upstream(const row& each, std::string_view from);
+    void log_removed(const base::upstream_id& id, std::string_view from, std::uint64_t revision,
+                     std::string_view outcome);
     /// Drops upstreams whose removal waited until nothing could bring them back.
     void drop_missing(base::time_point now);
     /// An entry that doesn't tell of an upstream that may be used.
@@ -103,7 +107,7 @@
     std::unique_ptr<table_sync> configurations_;
     std::unique_ptr<table_sync> upstreams_;
     std::string configuration_text_;
-    std::map<std::string, std::string> upstream_rows_;
+    std::map<std::string, row> upstream_rows_;
     /// Keys of entries that were complained about; said once, though they are written each second.
     std::set<std::string> unreadable_;
 
--- a/src/libcaraway/router/daemon_peers.cpp
+++ b/src/libcaraway/router/daemon_peers.cpp
@@ -140,7 +140,11 @@
     {
         return;
     }
-    take_upstreams(copy.upstreams, true, copy.from.str());
+    core_.log.line("peer_copy", {{"from", copy.from.str()},
+                                 {"revision", copy.state.revision},
+                                 {"own_revision", upstreams_->revision()},
+                                 {"upstreams", copy.upstreams.size()}});
+    take_upstreams(copy.upstreams, copy.state.revision, copy.from.str());
     if (resting)
     {
         upstreams_->adopt(copy.state.revision);
@@ -157,11 +161,11 @@
     }
     // What the directory believes, not what the store lists: around an outage entries lapse there
     // that this router still holds, and a peer takes the copy for the whole truth.
-    for (const auto& [key, value] : upstream_rows_)
+    for (const auto& [key, each] : upstream_rows_)
     {
         if (core_.directory.find(base::upstream_id(key)) != nullptr)
         {
-            copy.upstreams.push_back({.key = key, .value = value});
+            copy.upstreams.push_back(each);
         }
     }
     for (const auto& [id, each] : peers_.all())
--- a/src/libcaraway/router/daemon_tables.cpp
+++ b/src/libcaraway/router/daemon_tables.cpp
@@ -53,21 +53,23 @@
             }
         }
     };
-    configurations_ =
-        std::make_unique<table_sync>("configuration", core_.timers, core_.log,
-                                     platform.configurations, routing::follower_options{},
-                                     table_sync::events{.all = take_rows,
-                                                        .changed = take_rows,
-                                                        .lost = [] {},
-                                                        .back =
-                                                            [] {
-                                                            }});
+    configurations_ = std::make_unique<table_sync>(
+        "configuration", core_.timers, core_.log, platform.configurations,
+        routing::follower_options{},
+        table_sync::events{.all = [take_rows](const rows_answer& answer)
+                           { take_rows(answer.rows); },
+                           .changed = take_rows,
+                           .lost = [] {},
+                           .back =
+                               [] {
+                               }});
     upstreams_ = std::make_unique<table_sync>(
         "upstreams", core_.timers, core_.log, platform.upstreams,
         routing::follower_options{.gap = upstreams_gap},
-        table_sync::events{.all = [this](const auto& rows) { take_upstreams(rows, true, "store"); },
+        table_sync::events{.all = [this](const rows_answer& answer)
+                           { take_upstreams(answer.rows, answer.revision, "store"); },
                            .changed = [this](const auto& rows)
-                           { take_upstreams(rows, false, "store"); },
+                           { take_upstreams(rows, std::nullopt, "store"); },
                            .lost = [this] { core_.directory.store_lost(core_.now()); },
                            .back =
                                [this]
@@ -166,50 +168,57 @@
     }
 }
 
-void daemon::take_upstreams(const std::vector<row>& rows, bool whole, std::string_view from)
+void daemon::take_upstreams(const std::vector<row>& rows, std::optional<std::uint64_t> whole_at,
+                            std::string_view from)
 {
     const auto now = core_.now();
     std::set<base::upstream_id> listed;
-    if (whole)
+    if (whole_at)
     {
         std::erase_if(upstream_rows_, [&](const auto& each)
                       { return core_.directory.find(base::upstream_id(each.first)) == nullptr; });
     }
+    // In the order in which they were written: an upstream may start and leave within one answer.
     for (const auto& each : rows)
     {
+        const base::upstream_id id(each.key);
         if (each.removed)
         {
             unreadable_.erase(each.key);
-            const auto done = core_.directory.remove(base::upstream_id(each.key), now);
-            core_.log.line("upstream_removed", {{"upstream", each.key},
-                                                {"from", from},
-                                                {"revision", upstreams_->revision()},
-                                                {"outcome", routing::name(done)}});
+            log_removed(
+                id, from, each.revision,
+                name(core_.directory.remove(id, {.revision = each.revision, .heard = now})));
             continue;
         }
-        listed.insert(base::upstream_id(each.key));
+        listed.insert(id);
         take_upstream(each, from);
     }
-    if (whole)
+    if (whole_at)
     {
-        for (const auto& id : core_.directory.keep_only(listed, now))
+        for (const auto& id :
+             core_.directory.keep_only(listed, {.revision = *whole_at, .heard = now}))
         {
-            core_.log.line("upstream_removed", {{"upstream", id.str()},
-                                                {"from", from},
-                                                {"revision", upstreams_->revision()},
-                                                {"outcome", "not_in_listing"}});
+            log_removed(id, from, *whole_at, "not_in_listing");
         }
     }
     core_.pump();
 }
 
+void daemon::log_removed(const base::upstream_id& id, std::string_view from, std::uint64_t revision,
+                         std::string_view outcome)
+{
+    core_.log.line(
+        "upstream_removed",
+        {{"upstream", id.str()}, {"from", from}, {"revision", revision}, {"outcome", outcome}});
+}
+
 void daemon::drop_missing(base::time_point now)
 {
     const auto log_dropped = [&](const auto& dropped, std::string_view outcome)
     {
         for (const auto& id : dropped)
         {
-            core_.log.line("upstream_removed", {{"upstream", id.str()}, {"outcome", outcome}});
+            log_removed(id, "grace", upstreams_->revision(), outcome);
         }
     };
     const auto doubts = core_.directory.doubts_since();
@@ -228,16 +237,17 @@
         drop_unreadable(each, decoded.error());
         return;
     }
-    unreadable_.erase(each.key);
     const auto& entry = decoded.value();
     const auto* known = core_.directory.find(entry.id);
     const bool news = known == nullptr || known->draining != entry.draining;
-    const auto change = core_.directory.put(entry, core_.now());
+    const auto change =
+        core_.directory.put(entry, {.revision = each.revision, .heard = core_.now()});
     if (change == routing::upstream_directory::change::outdated)
     {
         return;
     }
-    upstream_rows_[each.key] = each.value;
+    unreadable_.erase(each.key);
+    upstream_rows_[each.key] = each;
     if (news)
     {
         core_.log.line("upstream", {{"upstream", each.key},
@@ -245,7 +255,7 @@
                                     {"address", entry.address.ip},
                                     {"draining", entry.draining},
                                     {"from", from},
-                                    {"revision", upstreams_->revision()}});
+                                    {"revision", each.revision}});
     }
     if (change == routing::upstream_directory::change::restarted)
     {
@@ -256,7 +266,11 @@
 void daemon::drop_unreadable(const row& from, const base::error& why)
 {
     // What it said before no longer stands: whoever wrote over it, the upstream didn't say so.
-    core_.directory.forget(base::upstream_id(from.key));
+    const routing::said when{.revision = from.revision, .heard = core_.now()};
+    if (!core_.directory.forget(base::upstream_id(from.key), when))
+    {
+        return;
+    }
     upstream_rows_.erase(from.key);
     if (unreadable_.insert(from.key).second)
     {
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -34,7 +34,7 @@
     auto upstreams = json::array();
     for (const auto& each : copy.upstreams)
     {
-        upstreams.push_back({each.key, each.value});
+        upstreams.push_back({each.key, each.value, each.revision});
     }
     auto routers = json::array();
     for (const auto& each : copy.routers)
@@ -65,8 +65,9 @@
                       .mark = from.at("mark").get<std::uint64_t>()}};
         for (const auto& each : from.at("upstreams"))
         {
-            copy.upstreams.push_back(
-                {.key = each.at(0).get<std::string>(), .value = each.at(1).get<std::string>()});
+            copy.upstreams.push_back({.key = each.at(0).get<std::string>(),
+                                      .value = each.at(1).get<std::string>(),
+                                      .revision = each.at(2).get<std::uint64_t>()});
         }
         for (const auto& each : from.at("routers"))
         {
--- a/src/libcaraway/router/ports.hpp
+++ b/src/libcaraway/router/ports.hpp
@@ -68,6 +68,8 @@
     std::string key;
     std::string value;
     bool removed = false;
+    /// The store's revision in which this was written.
+    std::uint64_t revision = 0;
 };
 
 struct rows_answer
--- a/src/libcaraway/router/table_sync.cpp
+++ b/src/libcaraway/router/table_sync.cpp
@@ -112,7 +112,7 @@
     }
     if (whole)
     {
-        on_.all(result.value().rows);
+        on_.all(result.value());
     }
     else if (!result.value().rows.empty())
     {
--- a/src/libcaraway/router/table_sync.hpp
+++ b/src/libcaraway/router/table_sync.hpp
@@ -15,8 +15,9 @@
 public:
     struct events
     {
-        /// The whole table.
-        std::function<void(const std::vector<row>&)> all;
+        /// The whole table. Its revision may be older than the one followed from: a peer's newer
+        /// copy may have been taken over meanwhile.
+        std::function<void(const rows_answer&)> all;
         /// Rows that changed, in order.
         std::function<void(const std::vector<row>&)> changed;
         std::function<void()> lost;
--- a/src/libcaraway/routing/upstream_directory.cpp
+++ b/src/libcaraway/routing/upstream_directory.cpp
@@ -9,20 +9,21 @@
 
 upstream_directory::upstream_directory(directory_options options) : options_(options) {}
 
-upstream_directory::change upstream_directory::put(const upstream& entry, base::time_point now)
+upstream_directory::change upstream_directory::put(const upstream& entry, const said& when)
 {
-    const auto [start, first] = latest_start_.try_emplace(entry.id, entry.born);
-    if (entry.born < start->second)
+    const auto known = last_.find(entry.id);
+    const bool restarted = known != last_.end() && entry.born > known->second.born;
+    const bool of_ended_life = known != last_.end() && entry.born < known->second.born;
+    if (of_ended_life || !is_news(entry.id, when))
     {
         return change::outdated;
     }
-    const bool restarted = !first && entry.born > start->second;
-    start->second = entry.born;
+    last_[entry.id].born = entry.born;
     missing_.erase(entry.id);
     entries_[entry.id] = entry;
     if (entry.draining)
     {
-        leaving_.try_emplace(entry.id, entry.born, now);
+        leaving_.try_emplace(entry.id, entry.born, when.heard);
     }
     else
     {
@@ -32,23 +33,27 @@
 }
 
 upstream_directory::removal upstream_directory::remove(const base::upstream_id& id,
-                                                       base::time_point now)
+                                                       const said& when)
 {
+    if (!is_news(id, when))
+    {
+        return removal::outdated;
+    }
     if (!entries_.contains(id))
     {
         return removal::not_listed;
     }
-    if (in_grace(now) && !entries_.at(id).draining)
+    if (in_grace(when.heard) && !entries_.at(id).draining)
     {
         missing_[id] = true;
         return removal::waits;
     }
-    drop(id, now);
+    drop(id, when.heard);
     return removal::believed;
 }
 
 std::vector<base::upstream_id>
-upstream_directory::keep_only(const std::set<base::upstream_id>& listed, base::time_point now)
+upstream_directory::keep_only(const std::set<base::upstream_id>& listed, const said& when)
 {
     std::vector<base::upstream_id> absent;
     for (const auto& [id, entry] : entries_)
@@ -61,7 +66,7 @@
     std::vector<base::upstream_id> removed;
     for (const auto& id : absent)
     {
-        if (remove(id, now) == removal::believed)
+        if (remove(id, when) == removal::believed)
         {
             removed.push_back(id);
         }
@@ -107,6 +112,11 @@
         std::erase_if(*times, [&](const auto& each)
                       { return each.second.second + options_.told_for <= now; });
     }
+    std::erase_if(last_,
+                  [&](const auto& each) {
+                      return !entries_.contains(each.first) &&
+                             each.second.heard + options_.remembered <= now;
+                  });
     return dropped;
 }
 
@@ -154,6 +164,28 @@
     missing_.erase(id);
 }
 
+bool upstream_directory::forget(const base::upstream_id& id, const said& when)
+{
+    if (!is_news(id, when))
+    {
+        return false;
+    }
+    forget(id);
+    return true;
+}
+
+bool upstream_directory::is_news(const base::upstream_id& id, const said& when)
+{
+    const auto [known, first] = last_.try_emplace(id);
+    if (!first && when.revision <= known->second.revision)
+    {
+        return false;
+    }
+    known->second.revision = when.revision;
+    known->second.heard = when.heard;
+    return true;
+}
+
 std::vector<const upstream*> upstream_directory::usable(const base::service_id& service) const
 {
     std::vector<const upstream*> found;
@@ -203,6 +235,8 @@
     {
     case upstream_directory::removal::not_listed:
         return "not_listed";
+    case upstream_directory::removal::outdated:
+        return "outdated";
     case upstream_directory::removal::believed:
         return "believed";
     case upstream_directory::removal::waits:
--- a/src/libcaraway/routing/upstream_directory.hpp
+++ b/src/libcaraway/routing/upstream_directory.hpp
@@ -44,6 +44,16 @@
     std::chrono::milliseconds born{};
 };
 
+/// When something was said of entries.
+struct said
+{
+    /// The store's revision in which it was written, or up to which a listing is current. It rises
+    /// with each change of any row, whoever tells of it.
+    std::uint64_t revision = 0;
+    /// When this router heard of it.
+    base::time_point heard{};
+};
+
 struct directory_options
 {
     /// Entries that lapsed while the platform's store was away are back within two seconds of its
@@ -51,6 +61,10 @@
     std::chrono::milliseconds return_grace{2300};
     /// How long peers are told of one that leaves: several digests of the largest fleets.
     std::chrono::milliseconds told_for{4000};
+    /// How long it is remembered what was said last of an entry that is gone. What comes late is
+    /// seconds late: calls to the store end after 3.3 s, a suspended VM wakes within tens of
+    /// seconds.
+    std::chrono::hours remembered{1};
 };
 
 /// The upstreams that may get requests. An entry that disappears normally means that its upstream
@@ -58,6 +72,12 @@
 /// lapse because the upstreams couldn't refresh them, and a router that believed it would have no
 /// upstreams left. So removals seen during an outage or within `return_grace` of its end wait until
 /// that time is over.
+///
+/// Statements come from the store and from peers, some of them late: an answer may wait in a busy
+/// router while a newer copy of a peer is taken over, a peer's copy may be older than what is known
+/// here, an answer after an outage repeats what happened in it. Applied as they come, an older one
+/// put an upstream back that had left, and requests went to it until it was gone. So each carries
+/// the store's revision, and of each entry only what is newer than the last statement counts.
 class upstream_directory
 {
 public:
@@ -69,23 +89,25 @@
         same_life,
         /// Another process than before: what was believed of its life before ends.
         restarted,
-        /// Of a life that has ended; ignored.
+        /// Of a life that has ended, or older than what is known; ignored.
         outdated,
     };
-    change put(const upstream& entry, base::time_point now = {});
+    change put(const upstream& entry, const said& when);
     /// What came of a removal.
     enum class removal
     {
         not_listed,
+        /// Older than what is known; ignored.
+        outdated,
         /// It gets nothing more.
         believed,
         /// It may be back: it is kept until the grace is over.
         waits,
     };
-    removal remove(const base::upstream_id& id, base::time_point now);
+    removal remove(const base::upstream_id& id, const said& when);
     /// The whole listing: removes what it lacks. Returns what it removed.
     std::vector<base::upstream_id> keep_only(const std::set<base::upstream_id>& listed,
-                                             base::time_point now);
+                                             const said& when);
 
     void store_lost(base::time_point now);
     void store_back(base::time_point now);
@@ -102,8 +124,11 @@
     void leaves(const leaving_upstream& what, base::time_point now);
     /// Lives that left, or said that they do, in the last seconds; for peers.
     std::vector<leaving_upstream> leaving(base::time_point now) const;
-    /// It refused as another instance: whatever the listing says, it is gone for good.
+    /// It refused as another instance: whatever has been said of it so far, it is gone.
     void forget(const base::upstream_id& id);
+    /// Its entry was written over by something that names no upstream. Whether that is the newest
+    /// statement.
+    bool forget(const base::upstream_id& id, const said& when);
 
     /// Upstreams of the service that take new requests.
     std::vector<const upstream*> usable(const base::service_id& service) const;
@@ -125,10 +150,21 @@
     std::vector<base::upstream_id> drop_missing(base::time_point now);
     void drop(const base::upstream_id& id, base::time_point now);
 
+    /// The last statement about an id, also after its entry has gone.
+    struct statement
+    {
+        std::uint64_t revision = 0;
+        /// The latest start that was told.
+        std::chrono::milliseconds born{};
+        base::time_point heard{};
+    };
+
+    /// Takes note of a statement; whether it is the newest.
+    bool is_news(const base::upstream_id& id, const said& when);
+
     directory_options options_;
     std::map<base::upstream_id, upstream> entries_;
-    /// The latest start that was told of each id, also after its entry has gone.
-    std::map<base::upstream_id, std::chrono::milliseconds> latest_start_;
+    std::map<base::upstream_id, statement> last_;
     using life_times =
         std::map<base::upstream_id, std::pair<std::chrono::milliseconds, base::time_point>>;
     /// Which life leaves, and since when that is known: here, and from peers.
