--- a/src/libcaraway/routing/overload_guard.cpp
+++ b/src/libcaraway/routing/overload_guard.cpp
@@ -24,6 +24,11 @@
 
 overload_guard::overload_guard(overload_options options) : options_(options) {}
 
+bool overload_guard::admits_connection()
+{
+    return true;
+}
+
 bool overload_guard::admits(const stream_effort& of, std::size_t under_way, double draw)
 {
     const auto yield = of.yield();
--- a/src/libcaraway/routing/overload_guard.hpp
+++ b/src/libcaraway/routing/overload_guard.hpp
@@ -58,6 +58,8 @@
 
     /// A regular timer fired so late, with so many streams under way.
     void note_tick(std::chrono::milliseconds late, std::size_t under_way);
+    /// Whether a caller's new connection may be taken.
+    bool admits_connection();
     /// Whether one more may be taken, with so many under way; `draw` is uniform in [0, 1).
     bool admits(const stream_effort& of, std::size_t under_way, double draw);
     /// The processor is at its limit.
