Router: all digests that wait are taken in with the first

Cause: one datagram was taken in a turn of the event loop, so on a flooded small VM the newest word of peers, what leaves among it, waited behind some hundred others; the look before each placing was left out as something had been heard just now. Ruled out: that the kernel drops them (the test's forty were all there). Change: the socket is waited on and emptied, 256 at a time.

--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -24,6 +24,10 @@
 /// loop is late, or that there is nobody, and then asking costs a system call at that pace.
 constexpr std::chrono::milliseconds longest_unheard{200};
 
+/// More than come within a second to a router of the largest fleets (160); a bound, so that a flood
+/// of datagrams doesn't keep the loop from all else.
+constexpr std::size_t heard_at_a_time = 256;
+
 /// A peer's answer is in memory; a router that takes longer is in trouble itself.
 constexpr std::chrono::milliseconds ask_timeout{500};
 
@@ -165,42 +169,40 @@
 
 void peer_link::hear_waiting()
 {
-    const auto now = core_.now();
-    if (now - last_heard_ < longest_unheard)
+    if (core_.now() - last_heard_ >= longest_unheard)
     {
-        return;
+        hear_all();
     }
-    last_heard_ = now;
-    std::array<char, 65536> bytes;
+}
+
+void peer_link::hear_all()
+{
+    last_heard_ = core_.now();
     udp::endpoint sender;
     boost::system::error_code error;
-    while (true)
+    for (std::size_t count = 0; count < heard_at_a_time; ++count)
     {
-        const auto size = socket_.receive_from(boost::asio::buffer(bytes), sender, 0, error);
+        const auto size = socket_.receive_from(boost::asio::buffer(buffer_), sender, 0, error);
         if (error)
         {
             return;
         }
-        on_digest({bytes.data(), size});
+        on_digest({buffer_.data(), size});
     }
 }
 
 void peer_link::receive()
 {
-    socket_.async_receive_from(boost::asio::buffer(buffer_), sender_,
-                               [this](const boost::system::error_code& error, std::size_t bytes)
-                               {
-                                   if (error == boost::asio::error::operation_aborted)
-                                   {
-                                       return;
-                                   }
-                                   if (!error)
-                                   {
-                                       last_heard_ = core_.now();
-                                       on_digest({buffer_.data(), bytes});
-                                   }
-                                   receive();
-                               });
+    socket_.async_wait(udp::socket::wait_read,
+                       [this](const boost::system::error_code& error)
+                       {
+                           if (error == boost::asio::error::operation_aborted)
+                           {
+                               return;
+                           }
+                           hear_all();
+                           receive();
+                       });
 }
 
 void peer_link::on_digest(std::string_view bytes)
--- a/src/libcaraway/router/peer_link.hpp
+++ b/src/libcaraway/router/peer_link.hpp
@@ -56,6 +56,9 @@
 
     void send(const std::vector<routing::endpoint>& to);
     void receive();
+    /// Takes in all that waits. With one datagram a turn, the newest waited longest: behind some
+    /// hundred others on a VM whose turns take tens of milliseconds.
+    void hear_all();
     void on_digest(std::string_view bytes);
 
     core& core_;
@@ -64,7 +67,6 @@
     digest_source make_digest_;
     copy_taker take_copy_;
     udp::socket socket_;
-    udp::endpoint sender_;
     base::time_point last_heard_{};
     std::array<char, 65536> buffer_{};
     http::whole_caller caller_;
