--- a/src/libcaraway/routing/overload_guard.hpp
+++ b/src/libcaraway/routing/overload_guard.hpp
@@ -82,11 +82,12 @@
 private:
     static constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
 
-    overload_options options_;
+    /// At the end of a tick that was late or not.
     void limit_connections(bool late);
 
+    overload_options options_;
     std::size_t limit_ = unlimited;
-    /// New connections in a tick, and those of this one.
+    /// New connections of callers that a tick may take, and those that this one took.
     std::size_t connection_limit_ = unlimited;
     std::size_t connections_ = 0;
     int late_in_a_row_ = 0;
--- a/tests/http/test_server_connection.cpp
+++ b/tests/http/test_server_connection.cpp
@@ -231,6 +231,26 @@
     BOOST_TEST(end->heard.ends_with("last"));
 }
 
+// Its caller must be able to tell that nothing was read: no byte of an answer, and no request.
+BOOST_AUTO_TEST_CASE(a_connection_that_is_not_admitted_is_closed_unread)
+{
+    bool admits = false;
+    listener.set_admission([&] { return admits; });
+    const auto refused = caller();
+    refused->say(get);
+    BOOST_REQUIRE(becomes_true([&] { return refused->ended; }));
+    BOOST_TEST(refused->heard.empty());
+    BOOST_TEST(requests.empty());
+    BOOST_TEST(listener.turned_away() == 1U);
+    BOOST_TEST(listener.connections() == 0U);
+
+    admits = true;
+    const auto taken = caller();
+    taken->say(get);
+    BOOST_TEST(becomes_true([&] { return requests.size() == 1; }));
+    BOOST_TEST(listener.turned_away() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(idle_connections_are_closed_and_busy_ones_are_not)
 {
     const auto idle = caller();
