--- a/src/libcaraway/routing/overload_guard.cpp
+++ b/src/libcaraway/routing/overload_guard.cpp
@@ -13,6 +13,9 @@
 /// Ticks without lateness, and without the limit being reached, after which there is none.
 constexpr int calm_ticks = 50;
 
+/// The part of a limit from which on it counts as reached.
+constexpr double reached_part = 0.9;
+
 /// A mean over some hundred requests: within a second on a router that is flooded.
 constexpr double yield_step = 0.01;
 
@@ -21,6 +24,21 @@
     return static_cast<std::size_t>(std::lround(static_cast<double>(whole) * part));
 }
 
+bool is_reached(std::size_t limit, std::size_t taken)
+{
+    return taken >= part_of(limit, reached_part);
+}
+
+std::size_t raised(std::size_t limit, double growth)
+{
+    return limit + std::max<std::size_t>(1, part_of(limit, growth));
+}
+
+std::size_t lowered(std::size_t limit, std::size_t taken, double decrease, std::size_t least)
+{
+    return std::max(least, std::min(limit, part_of(taken, decrease)));
+}
+
 }  // namespace
 
 overload_guard::overload_guard(overload_options options) : options_(options) {}
@@ -60,8 +78,7 @@
         calm_in_a_row_ = 0;
         if (++late_in_a_row_ >= options_.late_ticks)
         {
-            const auto lower = part_of(under_way, options_.decrease);
-            limit_ = std::max(options_.least, std::min(limit_, lower));
+            limit_ = lowered(limit_, under_way, options_.decrease, options_.least);
         }
         return;
     }
@@ -70,8 +87,8 @@
     {
         return;
     }
-    const bool reached = under_way >= part_of(limit_, 0.9);
-    limit_ += reached ? std::max<std::size_t>(1, part_of(limit_, options_.growth)) : 0;
+    const bool reached = is_reached(limit_, under_way);
+    limit_ = reached ? raised(limit_, options_.growth) : limit_;
     calm_in_a_row_ = reached ? 0 : calm_in_a_row_ + 1;
     if (calm_in_a_row_ >= calm_ticks)
     {
@@ -90,13 +107,13 @@
     }
     if (late)
     {
-        const auto lower = part_of(std::min(connection_limit_, taken), options_.decrease);
-        connection_limit_ = std::max(options_.least_connections, lower);
-        return;
+        connection_limit_ =
+            lowered(connection_limit_, taken, options_.decrease, options_.least_connections);
+    }
+    else if (connection_limit_ != unlimited && is_reached(connection_limit_, taken))
+    {
+        connection_limit_ = raised(connection_limit_, options_.growth);
     }
-    const bool reached = connection_limit_ != unlimited && taken >= part_of(connection_limit_, 0.9);
-    connection_limit_ +=
-        reached ? std::max<std::size_t>(1, part_of(connection_limit_, options_.growth)) : 0;
 }
 
 }  // namespace caraway::routing
--- a/tests/users_platform/router_fixture.cpp
+++ b/tests/users_platform/router_fixture.cpp
@@ -124,6 +124,17 @@
            end->heard.starts_with("HTTP/1.1 " + code);
 }
 
+std::string router_fixture::usable(router::daemon& router)
+{
+    std::string ids;
+    const auto state = router.state();
+    for (const auto& each : state["upstreams"])
+    {
+        ids += each["draining"].get<bool>() ? "" : each["id"].get<std::string>() + " ";
+    }
+    return ids;
+}
+
 bool router_fixture::logged(const std::vector<std::string>& parts) const
 {
     for (const auto& each : lines)
--- a/tests/users_platform/router_fixture.hpp
+++ b/tests/users_platform/router_fixture.hpp
@@ -49,6 +49,8 @@
                                              const std::string& body = "body");
     /// Waits for an answer that begins with this status line's part.
     bool answered(const std::shared_ptr<http_tests::raw_end>& end, const std::string& code);
+    /// Ids of the upstreams that the router would send to, each followed by a space.
+    static std::string usable(caraway::router::daemon& router);
     /// Whether some log line holds all of these.
     bool logged(const std::vector<std::string>& parts) const;
 
--- a/tests/users_platform/test_leaving.cpp
+++ b/tests/users_platform/test_leaving.cpp
@@ -37,18 +37,6 @@
         add(second);
     }
 
-    /// Upstreams that the router would send to.
-    static std::string usable(caraway::router::daemon& router)
-    {
-        std::string ids;
-        const auto state = router.state();
-        for (const auto& each : state["upstreams"])
-        {
-            ids += each["draining"].get<bool>() ? "" : each["id"].get<std::string>() + " ";
-        }
-        return ids;
-    }
-
     void ask_often(caraway::router::daemon& router)
     {
         constexpr int times = 6;
--- a/tests/users_platform/test_tables.cpp
+++ b/tests/users_platform/test_tables.cpp
@@ -25,18 +25,6 @@
     {
         return router.state()["version"].get<std::uint64_t>();
     }
-
-    /// Which upstreams it would use.
-    static std::string usable(caraway::router::daemon& router)
-    {
-        std::string ids;
-        const auto state = router.state();
-        for (const auto& each : state["upstreams"])
-        {
-            ids += each["draining"].get<bool>() ? "" : each["id"].get<std::string>() + " ";
-        }
-        return ids;
-    }
 };
 
 }  // namespace
