--- a/tests/users_platform/test_tables.cpp
+++ b/tests/users_platform/test_tables.cpp
@@ -21,6 +21,12 @@
         add(first);
     }
 
+    void wait_for(std::chrono::milliseconds span)
+    {
+        const auto until = clock.now() + span;
+        BOOST_REQUIRE(becomes_true([&] { return clock.now() >= until; }));
+    }
+
     static std::uint64_t version(caraway::router::daemon& router)
     {
         return router.state()["version"].get<std::uint64_t>();
@@ -315,6 +321,102 @@
     BOOST_TEST(!logged({"upstream_restarted", R"("born":1000)"}));
 }
 
+// Symptom: a fleet of 295 routers made 3,942 calls to the store in its first minute, priced at 0.08
+// of a day; with each new configuration 295 more.
+// Sequence: all start; a new configuration is accepted.
+// Cause: each router read all tables by itself before it knew any other, and each followed the
+// configuration for good.
+BOOST_AUTO_TEST_CASE(a_start_and_a_new_configuration_cost_the_store_few_calls)
+{
+    // 1,000 calls for 295 routers, the start and a minute: what is bearable.
+    constexpr double calls_a_router = 1000.0 / 295;
+    constexpr int fleet = 24;
+    start_router("r1");
+    seeds = {routers.front()->options().control};
+    for (int number = 2; number <= fleet; ++number)
+    {
+        start_router("r" + std::to_string(number), false);
+    }
+    const auto all = [&](const auto& holds)
+    {
+        return std::all_of(routers.begin(), routers.end(),
+                           [&](const auto& each) { return holds(*each); });
+    };
+    const auto calls = [&]
+    {
+        int sum = 0;
+        for (const auto& [path, count] : store.calls)
+        {
+            sum += count;
+        }
+        return sum;
+    };
+    BOOST_REQUIRE(becomes_true([&] { return all([](auto& each) { return each.ready(); }); }));
+    wait_for(std::chrono::seconds(4));
+    BOOST_TEST(calls() <= calls_a_router * fleet);
+    BOOST_TEST(all([](auto& each) { return each.state()["peers"].size() == fleet - 1; }));
+
+    const auto before = calls();
+    accept(2, {{.prefix = "/b/"}});
+    BOOST_REQUIRE(becomes_true([&] { return all([](auto& each) { return version(each) == 2; }); }));
+    wait_for(std::chrono::seconds(1));
+    BOOST_TEST(calls() - before <= fleet / 2);
+}
+
+// Symptom: none; what a start that relies on others must not lose.
+// Sequence: a router starts, and those that its settings name are gone.
+BOOST_AUTO_TEST_CASE(a_router_whose_seeds_are_gone_asks_the_store)
+{
+    seeds = {{.ip = "127.0.0.1", .port = 1}};
+    auto& router = start_router("r1", false);
+
+    BOOST_TEST(becomes_true([&] { return router.ready(); }));
+}
+
+// Sequence: the same; those that its settings name answer, and know nothing themselves.
+BOOST_AUTO_TEST_CASE(a_router_whose_seeds_know_nothing_asks_the_store)
+{
+    stand_in_store turns_away(loop, timers);
+    turns_away.away = true;
+    auto& ignorant = start_router_at(turns_away, "r1", false);
+    seeds = {ignorant.options().control};
+    auto& router = start_router("r2", false);
+
+    BOOST_TEST(becomes_true([&] { return router.ready(); }));
+}
+
+// Symptom: a route that had been dropped still worked at some routers.
+// Sequence: a new configuration came while the routers that ask the store for their zone were gone.
+BOOST_AUTO_TEST_CASE(a_new_configuration_reaches_all_when_those_that_ask_are_gone)
+{
+    for (int number = 1; number <= 7; ++number)
+    {
+        start_router("r" + std::to_string(number));
+    }
+    const auto asks = [](const auto& each)
+    {
+        return each->state()["asks_store"].template get<bool>();
+    };
+    const auto asking = [&]
+    {
+        return std::count_if(routers.begin(), routers.end(), asks);
+    };
+    BOOST_REQUIRE(becomes_true([&] { return asking() == 2; }));
+    std::erase_if(routers, asks);
+    accept(2, {{.prefix = "/b/"}});
+    const auto accepted = clock.now();
+
+    BOOST_REQUIRE(becomes_true(
+        [&]
+        {
+            return std::all_of(routers.begin(), routers.end(),
+                               [](const auto& each) { return version(*each) == 2; });
+        }));
+    // As long as an upstream that leaves goes on serving: the shortest time in which changes must
+    // have reached all.
+    BOOST_TEST((clock.now() - accepted < routers.front()->options().leaving_notice));
+}
+
 // Symptom: sixty routers asked the store sixty times as often as one would have to.
 // Then: a router sent requests to a runner that had left, and believed for good that the store was
 // away; it had stopped asking while its last call was under way, and that call failed.
