Routing: placing looks up each engine once, and what rules most out comes first

Ruled out: looking at a few engines only (a change of policy, to be measured by itself). Change: own and others' load of an engine are one record by hash; room is checked first; learned paces are worked out at the refresh; hashes of ids and the list of a service's usable upstreams are kept by the directory. Decisions are the same.

--- a/src/libcaraway/routing/load_board.cpp
+++ b/src/libcaraway/routing/load_board.cpp
@@ -36,34 +36,39 @@
 
 void load_board::begin(const base::upstream_id& id, const upstream_load& of)
 {
-    own_[id] += of;
+    loads_[id].own += of;
 }
 
 void load_board::prompt_read(const base::upstream_id& id, std::uint64_t unread_tokens)
 {
-    own_[id] -= upstream_load{.unread_tokens = unread_tokens};
+    if (const auto known = loads_.find(id); known != loads_.end())
+    {
+        known->second.own -= upstream_load{.unread_tokens = unread_tokens};
+    }
 }
 
 void load_board::end(const base::upstream_id& id, const upstream_load& of)
 {
-    auto& mine = own_[id];
+    auto& mine = loads_[id].own;
     mine -= of;
     if (mine.running == 0)
     {
-        own_.erase(id);
+        mine = {};
+        forget_if_empty(id);
     }
 }
 
 void load_board::set_peer(const base::node_id& peer, upstream_loads loads, base::time_point now)
 {
     auto& known = peers_[peer];
-    for (const auto& [id, load] : known.loads)
+    for (const auto& [id, load] : loads)
     {
-        peers_total_[id] -= load;
+        loads_[id].others += load;
     }
-    for (const auto& [id, load] : loads)
+    for (const auto& [id, load] : known.loads)
     {
-        peers_total_[id] += load;
+        loads_[id].others -= load;
+        forget_if_empty(id);
     }
     known = {.loads = std::move(loads), .heard = now};
 }
@@ -80,31 +85,51 @@
         }
         for (const auto& [id, load] : each->second.loads)
         {
-            peers_total_[id] -= load;
+            loads_[id].others -= load;
+            forget_if_empty(id);
         }
         each = peers_.erase(each);
     }
-    std::erase_if(peers_total_, [](const auto& each) { return each.second == upstream_load{}; });
 }
 
-upstream_load load_board::total(const base::upstream_id& id) const
+void load_board::forget_if_empty(const base::upstream_id& id)
+{
+    const auto found = loads_.find(id);
+    if (found->second.own == upstream_load{} && found->second.others == upstream_load{})
+    {
+        loads_.erase(found);
+    }
+}
+
+upstream_loads load_board::own() const
 {
-    upstream_load sum;
-    if (const auto mine = own_.find(id); mine != own_.end())
+    upstream_loads out;
+    for (const auto& [id, known] : loads_)
     {
-        sum += mine->second;
+        if (known.own.running > 0)
+        {
+            out.emplace(id, known.own);
+        }
     }
-    if (const auto theirs = peers_total_.find(id); theirs != peers_total_.end())
+    return out;
+}
+
+upstream_load load_board::total(const base::upstream_id& id) const
+{
+    const auto known = loads_.find(id);
+    if (known == loads_.end())
     {
-        sum += theirs->second;
+        return {};
     }
+    auto sum = known->second.own;
+    sum += known->second.others;
     return sum;
 }
 
 std::uint32_t load_board::own_running(const base::upstream_id& id) const
 {
-    const auto mine = own_.find(id);
-    return mine == own_.end() ? 0 : mine->second.running;
+    const auto known = loads_.find(id);
+    return known == loads_.end() ? 0 : known->second.own.running;
 }
 
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/load_board.hpp
+++ b/src/libcaraway/routing/load_board.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <unordered_map>
 
 namespace caraway::routing
 {
@@ -51,10 +52,8 @@
     /// `lifetime` if digests come so rarely that the usual one would drop living peers.
     void drop_old_peers(base::time_point now, std::chrono::milliseconds lifetime = {});
 
-    const upstream_loads& own() const
-    {
-        return own_;
-    }
+    /// This router's, for its digest.
+    upstream_loads own() const;
     upstream_load total(const base::upstream_id& id) const;
     std::uint32_t own_running(const base::upstream_id& id) const;
 
@@ -65,9 +64,18 @@
         base::time_point heard{};
     };
 
+    struct known_load
+    {
+        upstream_load own;
+        /// Of all peers.
+        upstream_load others;
+    };
+
+    void forget_if_empty(const base::upstream_id& id);
+
     load_options options_;
-    upstream_loads own_;
-    upstream_loads peers_total_;
+    /// One look-up for each upstream that a request considers.
+    std::unordered_map<base::upstream_id, known_load> loads_;
     std::map<base::node_id, peer_loads> peers_;
 };
 
--- a/src/libcaraway/routing/peer_table.cpp
+++ b/src/libcaraway/routing/peer_table.cpp
@@ -220,8 +220,8 @@
 
 const peer* peer_table::drawn(std::vector<const peer*> from, double draw) const
 {
-    const auto others = std::stable_partition(from.begin(), from.end(),
-                                              [&](const peer* each) { return each->zone == zone_; });
+    const auto others = std::stable_partition(
+        from.begin(), from.end(), [&](const peer* each) { return each->zone == zone_; });
     const auto near = std::distance(from.begin(), others);
     const auto among = near > 0 ? near : std::distance(from.begin(), from.end());
     if (among == 0)
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -58,7 +58,7 @@
 
 /// The highest and second highest weight of a part over the candidates: rendezvous hashing.
 std::pair<std::size_t, std::size_t> best_two(std::uint64_t part,
-                                             const std::vector<std::uint64_t>& candidates)
+                                             const std::vector<const upstream*>& candidates)
 {
     std::size_t first = prompt_homes::nowhere;
     std::size_t second = prompt_homes::nowhere;
@@ -66,7 +66,7 @@
     std::uint64_t next = 0;
     for (std::size_t index = 0; index < candidates.size(); ++index)
     {
-        const auto weight = combine(part, candidates[index]);
+        const auto weight = combine(part, candidates[index]->hash);
         if (first == prompt_homes::nowhere || weight > highest)
         {
             second = first;
@@ -93,15 +93,9 @@
     }
     out.shared = chain_of(*parts);
     out.shared.pop_back();
-    std::vector<std::uint64_t> ids;
-    ids.reserve(candidates.size());
-    for (const auto* each : candidates)
-    {
-        ids.push_back(stable_hash(each->id.str()));
-    }
     for (const auto part : out.shared)
     {
-        const auto [first, second] = best_two(part, ids);
+        const auto [first, second] = best_two(part, candidates);
         out.homes.push_back(first);
         out.second = second;
     }
@@ -121,6 +115,33 @@
     return tokens;
 }
 
+bool was_tried(const placement_request& request, const base::upstream_id& id)
+{
+    return std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end();
+}
+
+std::uint64_t needed_tokens(const placement_request& request)
+{
+    return std::uint64_t{request.prompt_tokens} + request.output_tokens;
+}
+
+std::uint32_t unread_tokens(const placement_request& request, std::uint32_t cached)
+{
+    return request.prompt_tokens - std::min(cached, request.prompt_tokens);
+}
+
+/// Behind the prompts that are before it; plain calls have none.
+std::chrono::milliseconds wait_of(const placement_request& request, const upstream_load& total,
+                                  double ms_per_token)
+{
+    if (!request.of->engine)
+    {
+        return {};
+    }
+    return std::chrono::milliseconds(
+        static_cast<std::int64_t>(static_cast<double>(total.unread_tokens) * ms_per_token));
+}
+
 }  // namespace
 
 placer::placer(placement_options options) : options_(std::move(options)) {}
@@ -131,42 +152,44 @@
                                         const scheduling::upstream_health& health,
                                         const reading_pace& pace, base::time_point now)
 {
-    const auto candidates = directory.usable(request.of->id);
+    const auto& candidates = directory.usable(request.of->id);
     const auto homes = homes_for(candidates, request.of->engine ? request.parts : nullptr);
-    std::optional<placement> best;
+    const auto shared = shared_tokens(request);
+    const auto room = room_for(request);
+    std::optional<candidate> best;
     double lowest = std::numeric_limits<double>::infinity();
+    // What most often rules one out comes first: with hundreds of engines, most of them full, a
+    // request that finds no place costs a small VM more than one that is served.
     for (std::size_t index = 0; index < candidates.size(); ++index)
     {
-        const auto* each = candidates[index];
-        const bool tried =
-            std::find(request.tried.begin(), request.tried.end(), each->id) != request.tried.end();
-        if (tried || !health.usable(each->id, board.own_running(each->id), now))
+        const auto& where = *candidates[index];
+        candidate each{.where = &where, .total = board.total(where.id)};
+        if (!has_room(where, request, room, each.total) || was_tried(request, where.id) ||
+            !health.usable(where.id, board.own_running(where.id), now))
         {
             continue;
         }
-        const auto cached = cached_tokens(each->id, request, homes.shared, homes.depth(index), now);
-        const bool second_home = homes.second == index;
-        if (shared_tokens(request) - cached > request.most_repeated && !second_home)
+        each.ms_per_token = pace.ms_per_token(where.id);
+        each.wait = wait_of(request, each.total, each.ms_per_token);
+        if (each.total.running > 0 && each.wait > request.longest_wait)
         {
             continue;
         }
-        const auto total = board.total(each->id);
-        const double ms_per_token = pace.ms_per_token(each->id);
-        auto there = at(*each, request, cached, total, ms_per_token);
-        if (!there)
+        each.cached = cached_tokens(where.id, request, homes.shared, homes.depth(index), now);
+        const bool second_home = homes.second == index;
+        if (shared - each.cached > request.most_repeated && !second_home)
         {
             continue;
         }
-        const double repeated =
-            (shared_tokens(request) - cached) * (second_home ? options_.second_home : 1.0);
-        const double costs = cost(*each, request, *there, repeated, ms_per_token);
+        each.repeated = (shared - each.cached) * (second_home ? options_.second_home : 1.0);
+        const double costs = cost(each, request);
         if (costs < lowest)
         {
             lowest = costs;
-            best = std::move(there);
+            best = each;
         }
     }
-    return best;
+    return best ? std::optional(placed_at(*best, request)) : std::nullopt;
 }
 
 void placer::note_sent(const base::upstream_id& id, const std::vector<prompt_part>& parts,
@@ -207,58 +230,61 @@
     return tokens;
 }
 
-std::optional<placement> placer::at(const upstream& where, const placement_request& request,
-                                    std::uint32_t cached, const upstream_load& total,
-                                    double ms_per_token) const
+placer::engine_room placer::room_for(const placement_request& request) const
 {
     if (!request.of->engine)
     {
-        const auto places = static_cast<std::uint32_t>(options_.plain_depth * where.slots);
-        if (total.running >= places)
-        {
-            return std::nullopt;
-        }
-        return placement{.where = where, .load = {.running = 1}, .running = total.running};
+        return {};
     }
     const auto& engine = *request.of->engine;
-    const auto places = std::max(1.0, std::floor(request.slot_share * engine.slots));
-    const std::uint64_t needed = std::uint64_t{request.prompt_tokens} + request.output_tokens;
-    const auto memory =
-        static_cast<std::uint64_t>(options_.memory_share * static_cast<double>(engine.kv_tokens));
-    const bool idle = total.running == 0;
-    if (total.running >= places || (!idle && total.held_tokens + needed > memory))
-    {
-        return std::nullopt;
-    }
-    const auto wait = std::chrono::milliseconds(
-        static_cast<std::int64_t>(static_cast<double>(total.unread_tokens) * ms_per_token));
-    if (!idle && wait > request.longest_wait)
+    return {.places = std::max(1.0, std::floor(request.slot_share * engine.slots)),
+            .tokens = static_cast<std::uint64_t>(options_.memory_share *
+                                                 static_cast<double>(engine.kv_tokens))};
+}
+
+bool placer::has_room(const upstream& where, const placement_request& request,
+                      const engine_room& room, const upstream_load& total) const
+{
+    if (!request.of->engine)
     {
-        return std::nullopt;
+        return total.running < static_cast<std::uint32_t>(options_.plain_depth * where.slots);
     }
-    const auto unread = request.prompt_tokens - std::min(cached, request.prompt_tokens);
-    return placement{.where = where,
-                     .load = {.running = 1, .unread_tokens = unread, .held_tokens = needed},
-                     .wait = wait,
-                     .ahead = total.unread_tokens,
-                     .running = total.running};
+    const bool fits =
+        total.running == 0 || total.held_tokens + needed_tokens(request) <= room.tokens;
+    return total.running < room.places && fits;
 }
 
-double placer::cost(const upstream& where, const placement_request& request, const placement& there,
-                    double read_again, double ms_per_token) const
+double placer::cost(const candidate& of, const placement_request& request) const
 {
+    const auto& where = *of.where;
     const double distance =
         where.zone == options_.zone ? 0 : static_cast<double>(options_.other_zone.count());
     if (!request.of->engine)
     {
-        const double waiting = static_cast<double>(there.running) / std::max(1U, where.slots);
+        const double waiting = static_cast<double>(of.total.running) / std::max(1U, where.slots);
         return distance + waiting * static_cast<double>(options_.plain_call.count());
     }
-    const double reading = static_cast<double>(there.load.unread_tokens) * ms_per_token;
+    const double reading = unread_tokens(request, of.cached) * of.ms_per_token;
     const double slowing =
-        std::chrono::duration<double, std::milli>(options_.running_request).count() * there.running;
-    const double repeating = options_.repeat_weight * read_again * ms_per_token;
-    return distance + static_cast<double>(there.wait.count()) + reading + repeating + slowing;
+        std::chrono::duration<double, std::milli>(options_.running_request).count() *
+        of.total.running;
+    const double repeating = options_.repeat_weight * of.repeated * of.ms_per_token;
+    return distance + static_cast<double>(of.wait.count()) + reading + repeating + slowing;
+}
+
+placement placer::placed_at(const candidate& of, const placement_request& request) const
+{
+    if (!request.of->engine)
+    {
+        return {.where = *of.where, .load = {.running = 1}, .running = of.total.running};
+    }
+    return {.where = *of.where,
+            .load = {.running = 1,
+                     .unread_tokens = unread_tokens(request, of.cached),
+                     .held_tokens = needed_tokens(request)},
+            .wait = of.wait,
+            .ahead = of.total.unread_tokens,
+            .running = of.total.running};
 }
 
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/placer.hpp
+++ b/src/libcaraway/routing/placer.hpp
@@ -95,19 +95,39 @@
     }
 
 private:
+    /// An upstream that has room, and what the request meets there.
+    struct candidate
+    {
+        const upstream* where = nullptr;
+        upstream_load total;
+        double ms_per_token = 0;
+        /// Wait behind the prompts that are before it.
+        std::chrono::milliseconds wait{};
+        /// Tokens that its cache is believed to hold, and shared ones that are to be read anew.
+        std::uint32_t cached = 0;
+        double repeated = 0;
+    };
+
     using part_times = std::unordered_map<std::uint64_t, base::time_point>;
 
     std::uint32_t cached_tokens(const base::upstream_id& id, const placement_request& request,
                                 const std::vector<std::uint64_t>& chain, std::size_t home_depth,
                                 base::time_point now) const;
-    std::optional<placement> at(const upstream& where, const placement_request& request,
-                                std::uint32_t cached, const upstream_load& total,
-                                double ms_per_token) const;
-    double cost(const upstream& where, const placement_request& request, const placement& there,
-                double read_again, double ms_per_token) const;
+    /// What each engine may hold after the request is there.
+    struct engine_room
+    {
+        double places = 0;
+        std::uint64_t tokens = 0;
+    };
+
+    engine_room room_for(const placement_request& request) const;
+    bool has_room(const upstream& where, const placement_request& request, const engine_room& room,
+                  const upstream_load& total) const;
+    double cost(const candidate& of, const placement_request& request) const;
+    placement placed_at(const candidate& of, const placement_request& request) const;
 
     placement_options options_;
-    std::map<base::upstream_id, part_times> read_;
+    std::unordered_map<base::upstream_id, part_times> read_;
 };
 
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/reading_pace.cpp
+++ b/src/libcaraway/routing/reading_pace.cpp
@@ -65,34 +65,37 @@
 {
     std::erase_if(peers_, [&](const auto& each)
                   { return each.second.heard + options_.peer_lifetime <= now; });
-    total_ = own(now);
+    auto total = own(now);
     for (const auto& [peer, known] : peers_)
     {
         for (const auto& [id, seen] : known.records)
         {
-            add(total_[id], seen);
+            add(total[id], seen);
         }
     }
     all_ = {.milliseconds = options_.first_ms_per_token * options_.prior_tokens,
             .tokens = options_.prior_tokens};
-    for (const auto& [id, seen] : total_)
+    for (const auto& [id, seen] : total)
     {
         add(all_, seen);
     }
+    paces_.clear();
+    for (const auto& [id, seen] : total)
+    {
+        paces_[id] = (seen.milliseconds + usual_pace() * options_.prior_tokens) /
+                     (seen.tokens + options_.prior_tokens);
+    }
+}
+
+double reading_pace::usual_pace() const
+{
+    return all_.tokens > 0 ? all_.milliseconds / all_.tokens : options_.first_ms_per_token;
 }
 
 double reading_pace::ms_per_token(const base::upstream_id& id) const
 {
-    const double usual =
-        all_.tokens > 0 ? all_.milliseconds / all_.tokens : options_.first_ms_per_token;
-    const auto found = total_.find(id);
-    if (found == total_.end())
-    {
-        return usual;
-    }
-    const auto& seen = found->second;
-    return (seen.milliseconds + usual * options_.prior_tokens) /
-           (seen.tokens + options_.prior_tokens);
+    const auto found = paces_.find(id);
+    return found == paces_.end() ? usual_pace() : found->second;
 }
 
 void reading_pace::age(aging_record& of, base::time_point now) const
--- a/src/libcaraway/routing/reading_pace.hpp
+++ b/src/libcaraway/routing/reading_pace.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <map>
+#include <unordered_map>
 
 namespace caraway::routing
 {
@@ -74,12 +75,14 @@
     };
 
     void age(aging_record& of, base::time_point now) const;
+    double usual_pace() const;
 
     reading_options options_;
     std::map<base::upstream_id, aging_record> own_;
     std::map<base::node_id, peer_records> peers_;
-    reading_records total_;
     reading_record all_;
+    /// Milliseconds for a token, of the engines of which something was seen.
+    std::unordered_map<base::upstream_id, double> paces_;
 };
 
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/upstream_directory.cpp
+++ b/src/libcaraway/routing/upstream_directory.cpp
@@ -20,7 +20,10 @@
     }
     last_[entry.id].born = entry.born;
     missing_.erase(entry.id);
-    entries_[entry.id] = entry;
+    auto& kept = entries_[entry.id];
+    kept = entry;
+    kept.hash = scheduling::stable_hash(entry.id.str());
+    usable_.clear();
     if (entry.draining)
     {
         leaving_.try_emplace(entry.id, entry.born, when.heard);
@@ -109,8 +112,12 @@
     auto dropped = in_grace(now) ? std::vector<base::upstream_id>{} : drop_missing(now);
     for (auto* times : {&leaving_, &told_})
     {
-        std::erase_if(*times, [&](const auto& each)
-                      { return each.second.second + options_.told_for <= now; });
+        const auto ended = std::erase_if(*times, [&](const auto& each)
+                                         { return each.second.second + options_.told_for <= now; });
+        if (ended > 0)
+        {
+            usable_.clear();
+        }
     }
     std::erase_if(last_,
                   [&](const auto& each) {
@@ -142,7 +149,12 @@
 
 void upstream_directory::leaves(const leaving_upstream& what, base::time_point now)
 {
-    told_[what.id] = {what.born, now};
+    auto& told = told_[what.id];
+    if (told.first != what.born || told.second == base::time_point{})
+    {
+        usable_.clear();
+    }
+    told = {what.born, now};
 }
 
 std::vector<leaving_upstream> upstream_directory::leaving(base::time_point now) const
@@ -162,6 +174,7 @@
 {
     entries_.erase(id);
     missing_.erase(id);
+    usable_.clear();
 }
 
 bool upstream_directory::forget(const base::upstream_id& id, const said& when)
@@ -186,14 +199,18 @@
     return true;
 }
 
-std::vector<const upstream*> upstream_directory::usable(const base::service_id& service) const
+const std::vector<const upstream*>&
+upstream_directory::usable(const base::service_id& service) const
 {
-    std::vector<const upstream*> found;
+    const auto [place, added] = usable_.try_emplace(service);
+    auto& found = place->second;
+    if (!added)
+    {
+        return found;
+    }
     for (const auto& [id, entry] : entries_)
     {
-        const auto told = told_.find(id);
-        const bool leaves = told != told_.end() && told->second.first == entry.born;
-        if (entry.service == service && !entry.draining && !leaves)
+        if (entry.service == service && is_usable(entry))
         {
             found.push_back(&entry);
         }
@@ -201,6 +218,13 @@
     return found;
 }
 
+bool upstream_directory::is_usable(const upstream& of) const
+{
+    const auto told = told_.find(of.id);
+    const bool leaves = told != told_.end() && told->second.first == of.born;
+    return !of.draining && !leaves;
+}
+
 const upstream* upstream_directory::find(const base::upstream_id& id) const
 {
     const auto found = entries_.find(id);
@@ -214,7 +238,7 @@
     std::uint64_t all = 0;
     for (const auto& [id, entry] : entries_)
     {
-        all = combine(all, stable_hash(id.str()));
+        all = combine(all, entry.hash);
         all = combine(all, stable_hash(entry.service.str()));
         all = combine(all, stable_hash(entry.address.ip));
         all = combine(all, entry.address.port);
--- a/src/libcaraway/routing/upstream_directory.hpp
+++ b/src/libcaraway/routing/upstream_directory.hpp
@@ -35,6 +35,8 @@
     /// The start of its process, by its own clock, since the epoch; 0: not told. A later one under
     /// the same id is another process, which holds and knows nothing of the one before.
     std::chrono::milliseconds born{};
+    /// Of the id, the same at all routers; the directory fills it in.
+    std::uint64_t hash = 0;
 };
 
 /// A life of an upstream that takes no new requests.
@@ -130,8 +132,8 @@
     /// statement.
     bool forget(const base::upstream_id& id, const said& when);
 
-    /// Upstreams of the service that take new requests.
-    std::vector<const upstream*> usable(const base::service_id& service) const;
+    /// Upstreams of the service that take new requests, until the next change.
+    const std::vector<const upstream*>& usable(const base::service_id& service) const;
     const upstream* find(const base::upstream_id& id) const;
     std::size_t size() const
     {
@@ -149,6 +151,7 @@
     bool in_grace(base::time_point now) const;
     std::vector<base::upstream_id> drop_missing(base::time_point now);
     void drop(const base::upstream_id& id, base::time_point now);
+    bool is_usable(const upstream& of) const;
 
     /// The last statement about an id, also after its entry has gone.
     struct statement
@@ -170,6 +173,8 @@
     /// Which life leaves, and since when that is known: here, and from peers.
     life_times leaving_;
     life_times told_;
+    /// By service, as asked for since the last change: each request asks.
+    mutable std::map<base::service_id, std::vector<const upstream*>> usable_;
     /// Listed no more, but not yet believed.
     std::map<base::upstream_id, bool> missing_;
     bool lost_ = false;
