Router, Routing: a router that starts goes by its copy until it hears its zone; news of many upstreams are one line

Cause: 292 of 295 routers had the tables from a peer within half a second, and all asked the store when their first second was over (their `store_source` lines, one start): they did not yet hear enough of their zone to know who asks. 1,928 calls by the eighth second. Each told of 168 upstreams in a line each, 49,178 lines, as these come into the table one by one during the start. Change: with a copy that is confirmed a router waits up to four seconds for its zone; rows of the routers' own table are written spread over two seconds, as a part of the store takes 150 transactions a second; more than eight news at a time are one line. Tests: two cases of leaving upstreams are about routers that ask the store; they now wait until theirs does, as it starts on a peer's copy. The fixture handed all routers the settings of the last one started, so a reload moved a router to another one's store.

--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -64,8 +64,9 @@
     void tell_changes(std::uint64_t mark);
     void tell_store(base::time_point now);
     void write_own_row(base::time_point now);
-    /// Learns of other routers: from the store, or from a peer that asks it.
+    /// Learn of other routers: from the store, or from a peer that asks it.
     void read_routers(base::time_point now);
+    void ask_for_routers(base::time_point now);
     void schedule_routers_read(base::time_point now);
     void progress_stop(base::time_point now);
     void set_shares_of_limits();
@@ -75,8 +76,9 @@
     /// `whole_at`.
     void take_upstreams(const std::vector<row>& rows, std::optional<std::uint64_t> whole_at,
                         std::string_view from);
-    void take_upstream(const row& each, std::string_view from, bool logs);
-    void log_listing(std::uint64_t revision, std::string_view from);
+    /// Whether it is one that wasn't known, or that leaves now.
+    bool take_upstream(const row& each);
+    void log_news(const std::vector<const row*>& news, std::string_view from);
     void log_removed(const base::upstream_id& id, std::string_view from, std::uint64_t revision,
                      std::string_view outcome);
     /// Drops upstreams whose removal waited until nothing could bring them back.
--- a/src/libcaraway/router/daemon_tables.cpp
+++ b/src/libcaraway/router/daemon_tables.cpp
@@ -14,6 +14,12 @@
 constexpr milliseconds routers_first_pause{1000};
 constexpr milliseconds routers_period{15000};
 constexpr milliseconds own_row_retry{700};
+/// The store takes some 150 transactions a second in a part; a fleet of hundreds that starts at one
+/// moment spreads them, as its routers hear of each other from those that their settings name.
+constexpr milliseconds own_row_spread{2000};
+/// News of more upstreams at a time are one line: at a start of some hundred routers there would be
+/// one for each of them and each upstream.
+constexpr std::size_t most_lines = 8;
 /// The store's own answer to a call that waits for runners, spaced so that a table in which every
 /// heartbeat shows costs three calls a second.
 constexpr milliseconds upstreams_gap{350};
@@ -79,6 +85,8 @@
     if (!core_.options.seeds.empty() && !is_seed())
     {
         relay_.rely_on_others(core_.now());
+        next_own_row_ =
+            core_.now() + std::chrono::duration_cast<milliseconds>(own_row_spread * core_.draw());
         configurations_->rest();
         upstreams_->rest();
     }
@@ -88,6 +96,11 @@
 
 void daemon::tell_store(base::time_point now)
 {
+    const bool reads = now >= next_routers_read_;
+    if (reads && upstreams_->resting())
+    {
+        ask_for_routers(now);
+    }
     if (store_busy_)
     {
         return;
@@ -96,12 +109,21 @@
     {
         write_own_row(now);
     }
-    else if (own_row_written_ && now >= next_routers_read_)
+    else if (own_row_written_ && reads && !upstreams_->resting())
     {
         read_routers(now);
     }
 }
 
+void daemon::ask_for_routers(base::time_point now)
+{
+    const auto* source = peers_.with_store(now, core_.draw());
+    if (source != nullptr && link_.ask(source->control))
+    {
+        schedule_routers_read(now);
+    }
+}
+
 void daemon::write_own_row(base::time_point now)
 {
     next_own_row_ = now + own_row_retry;
@@ -116,15 +138,6 @@
 
 void daemon::read_routers(base::time_point now)
 {
-    if (upstreams_->resting())
-    {
-        const auto* source = peers_.with_store(now, core_.draw());
-        if (source != nullptr && link_.ask(source->control))
-        {
-            schedule_routers_read(now);
-        }
-        return;
-    }
     schedule_routers_read(now);
     store_busy_ = true;
     platform_.routers.read_all(
@@ -204,9 +217,7 @@
                             std::string_view from)
 {
     const auto now = core_.now();
-    // One line for all: at a start of some hundred routers there would be one for each of them and
-    // each upstream.
-    const bool first = core_.directory.size() == 0 && whole_at;
+    std::vector<const row*> news;
     std::set<base::upstream_id> listed;
     if (whole_at)
     {
@@ -226,12 +237,12 @@
             continue;
         }
         listed.insert(id);
-        take_upstream(each, from, !first);
-    }
-    if (first)
-    {
-        log_listing(*whole_at, from);
+        if (take_upstream(each))
+        {
+            news.push_back(&each);
+        }
     }
+    log_news(news, from);
     if (whole_at)
     {
         for (const auto& id :
@@ -243,17 +254,34 @@
     core_.pump();
 }
 
-void daemon::log_listing(std::uint64_t revision, std::string_view from)
+void daemon::log_news(const std::vector<const row*>& news, std::string_view from)
 {
-    std::string addresses;
-    for (const auto& [id, each] : core_.directory.all())
+    if (news.size() > most_lines)
     {
-        addresses += id.str() + "=" + each.address.ip + (each.draining ? " (draining) " : " ");
+        std::string all;
+        for (const auto* each : news)
+        {
+            const auto* entry = core_.directory.find(base::upstream_id(each->key));
+            all += each->key + (entry != nullptr && entry->draining ? " draining, " : ", ");
+        }
+        core_.log.line("upstreams", {{"count", news.size()},
+                                     {"from", from},
+                                     {"revision", news.back()->revision},
+                                     {"upstreams", all}});
+        return;
+    }
+    for (const auto* each : news)
+    {
+        if (const auto* entry = core_.directory.find(base::upstream_id(each->key)))
+        {
+            core_.log.line("upstream", {{"upstream", each->key},
+                                        {"service", entry->service.str()},
+                                        {"address", entry->address.ip},
+                                        {"draining", entry->draining},
+                                        {"from", from},
+                                        {"revision", each->revision}});
+        }
     }
-    core_.log.line("upstreams", {{"count", core_.directory.size()},
-                                 {"from", from},
-                                 {"revision", revision},
-                                 {"addresses", addresses}});
 }
 
 void daemon::log_removed(const base::upstream_id& id, std::string_view from, std::uint64_t revision,
@@ -281,13 +309,13 @@
     log_dropped(core_.directory.expire(now), "grace_over");
 }
 
-void daemon::take_upstream(const row& each, std::string_view from, bool logs)
+bool daemon::take_upstream(const row& each)
 {
     auto decoded = platform_.decode_upstream(each);
     if (!decoded)
     {
         drop_unreadable(each, decoded.error());
-        return;
+        return false;
     }
     const auto& entry = decoded.value();
     const auto* known = core_.directory.find(entry.id);
@@ -296,23 +324,15 @@
         core_.directory.put(entry, {.revision = each.revision, .heard = core_.now()});
     if (change == routing::upstream_directory::change::outdated)
     {
-        return;
+        return false;
     }
     unreadable_.erase(each.key);
     upstream_rows_[each.key] = each;
-    if (news && logs)
-    {
-        core_.log.line("upstream", {{"upstream", each.key},
-                                    {"service", entry.service.str()},
-                                    {"address", entry.address.ip},
-                                    {"draining", entry.draining},
-                                    {"from", from},
-                                    {"revision", each.revision}});
-    }
     if (change == routing::upstream_directory::change::restarted)
     {
         core_.note_restarted(entry.id, entry.born);
     }
+    return news;
 }
 
 void daemon::drop_unreadable(const row& from, const base::error& why)
--- a/src/libcaraway/routing/table_relay.cpp
+++ b/src/libcaraway/routing/table_relay.cpp
@@ -86,18 +86,24 @@
 
 void table_relay::rely_on_others(base::time_point now)
 {
-    relies_until_ = now + options_.first_patience;
+    relies_since_ = now;
 }
 
 void table_relay::stop_relying()
 {
-    relies_until_ = {};
+    relies_since_.reset();
 }
 
 /// Until it has the tables and hears enough of its zone to know its place in line.
 bool table_relay::relies_on_others(base::time_point now) const
 {
-    return now < relies_until_ && !(has_read_ && is_shared(now));
+    if (!relies_since_ || (has_read_ && is_shared(now)))
+    {
+        return false;
+    }
+    const auto since = now - *relies_since_;
+    const bool confirmed = now - confirmed_ <= part_of_notice(options_.alone);
+    return has_read_ ? confirmed && since < options_.settling : since < options_.first_patience;
 }
 
 bool table_relay::follows(base::time_point now) const
--- a/src/libcaraway/routing/table_relay.hpp
+++ b/src/libcaraway/routing/table_relay.hpp
@@ -32,6 +32,9 @@
     /// How long a router that starts waits for a copy of those that its settings name before it
     /// asks the store.
     std::chrono::milliseconds first_patience{1000};
+    /// How long it goes by such a copy, as long as that is confirmed, before it hears enough of its
+    /// zone to know who asks: routers that start find each other within some pulls of a copy.
+    std::chrono::milliseconds settling{4000};
 };
 
 /// What a router says of its copy of the platform's tables, in its digests.
@@ -113,8 +116,8 @@
     /// When somebody, or the store itself, last confirmed it.
     base::time_point confirmed_{};
     std::optional<base::time_point> lost_at_;
-    /// Until then a router that starts waits for others.
-    base::time_point relies_until_{};
+    /// When it began to wait for others.
+    std::optional<base::time_point> relies_since_;
 };
 
 }  // namespace caraway::routing
--- a/tests/users_platform/router_fixture.cpp
+++ b/tests/users_platform/router_fixture.cpp
@@ -97,7 +97,14 @@
     changed_settings = options;
     routers.push_back(std::make_unique<router::daemon>(
         loop, clock, options, platform::caller_protocol(),
-        platform::make_port(loop, timers, at.address()), log, [this] { return changed_settings; }));
+        platform::make_port(loop, timers, at.address()), log,
+        [this, options]
+        {
+            // Each reads its own: those of the router started last are another's.
+            const bool of_another =
+                changed_settings && changed_settings.value().name != options.name;
+            return of_another ? base::result<router::settings>(options) : changed_settings;
+        }));
     auto& started = *routers.back();
     BOOST_REQUIRE(started.start().has_value());
     if (wait)
--- a/tests/users_platform/test_leaving.cpp
+++ b/tests/users_platform/test_leaving.cpp
@@ -37,6 +37,14 @@
         add(second);
     }
 
+    /// It goes by a peer's copy at first; what follows is about one that asks the store itself. Its
+    /// own row is the last that it writes, in whichever view of the store it has.
+    void wait_until_it_asks(caraway::router::daemon& router, const stand_in_store& at)
+    {
+        BOOST_REQUIRE(becomes_true([&] { return router.state()["asks_store"].get<bool>(); }));
+        BOOST_REQUIRE(becomes_true([&] { return at.has("caraway_routers", "r1"); }));
+    }
+
     void ask_often(caraway::router::daemon& router)
     {
         constexpr int times = 6;
@@ -74,6 +82,7 @@
     auto& peer = start_router_at(late, "r2", true);
     seeds = {peer.options().control};
     auto& router = start_router();
+    wait_until_it_asks(router, store);
     add(first, "plain", "draining");
     BOOST_REQUIRE(becomes_true([&] { return usable(router) == "i-2 "; }));
     BOOST_REQUIRE(becomes_true([&] { return logged({"i-1", "\"draining\":true"}); }));
@@ -95,6 +104,7 @@
     auto& peer = start_router("r2");
     seeds = {peer.options().control};
     auto& router = start_router_at(late, "r1", true);
+    wait_until_it_asks(router, late);
     late.away = true;
     BOOST_REQUIRE(becomes_true([&] { return logged({"store_lost", "upstreams"}); }));
     add(first);
--- a/tests/users_platform/test_tables.cpp
+++ b/tests/users_platform/test_tables.cpp
@@ -380,9 +380,13 @@
 // Cause: each of 295 routers told of each of 168 upstreams by itself.
 BOOST_AUTO_TEST_CASE(a_first_listing_of_upstreams_is_one_line)
 {
-    add(second);
+    constexpr int all = 30;
+    for (int number = 3; number <= all; ++number)
+    {
+        store.put("servers", "i-" + std::to_string(number), second.entry("plain"));
+    }
     start_router("r1");
-    BOOST_REQUIRE(becomes_true([&] { return logged({"\"upstreams\"", "i-1=", "i-2="}); }));
+    BOOST_REQUIRE(becomes_true([&] { return logged({"\"upstreams\"", "i-1,", "i-30,"}); }));
     BOOST_TEST(!logged({"\"event\":\"upstream\""}));
 
     add(first, "plain", "draining");
