--- a/src/libcaraway/router/daemon_tables.cpp
+++ b/src/libcaraway/router/daemon_tables.cpp
@@ -9,11 +9,17 @@
 
 using std::chrono::milliseconds;
 
-/// A table of routers that start and stop rarely, and say so themselves.
+/// A table of routers that start and stop rarely, and say so themselves; at the start of a fleet
+/// it fills within seconds, so the first pause is short and each is twice the one before.
+constexpr milliseconds routers_first_pause{1000};
 constexpr milliseconds routers_period{15000};
-/// A router that doesn't ask the store of upstreams reads that table so many times more rarely.
-constexpr int resting_pace = 4;
 constexpr milliseconds own_row_retry{700};
+/// The store takes some 150 transactions a second in a part; a fleet of hundreds that starts at one
+/// moment spreads them, as its routers hear of each other from those that their settings name.
+constexpr milliseconds own_row_spread{2000};
+/// News of more upstreams at a time are one line: at a start of some hundred routers there would be
+/// one for each of them and each upstream.
+constexpr std::size_t most_lines = 8;
 /// The store's own answer to a call that waits for runners, spaced so that a table in which every
 /// heartbeat shows costs three calls a second.
 constexpr milliseconds upstreams_gap{350};
@@ -76,46 +82,83 @@
                            {
                                core_.directory.store_back(core_.now());
                            }});
+    if (!core_.options.seeds.empty() && !is_seed())
+    {
+        relay_.rely_on_others(core_.now());
+        next_own_row_ =
+            core_.now() + std::chrono::duration_cast<milliseconds>(own_row_spread * core_.draw());
+        configurations_->rest();
+        upstreams_->rest();
+    }
     configurations_->start();
     upstreams_->start();
 }
 
 void daemon::tell_store(base::time_point now)
 {
+    const bool reads = now >= next_routers_read_;
+    if (reads && upstreams_->resting())
+    {
+        ask_for_routers(now);
+    }
     if (store_busy_)
     {
         return;
     }
     if (!own_row_written_ && now >= next_own_row_)
     {
-        next_own_row_ = now + own_row_retry;
-        store_busy_ = true;
-        platform_.routers.write(own_row(),
-                                [this](const base::result<void>& result)
-                                {
-                                    store_busy_ = false;
-                                    own_row_written_ = static_cast<bool>(result);
-                                });
-        return;
+        write_own_row(now);
     }
-    if (own_row_written_ && now >= next_routers_read_)
+    else if (own_row_written_ && reads && !upstreams_->resting())
     {
-        next_routers_read_ = now + routers_period * (upstreams_->resting() ? resting_pace : 1);
-        store_busy_ = true;
-        platform_.routers.read_all(
-            [this](const base::result<rows_answer>& result)
-            {
-                store_busy_ = false;
-                if (result)
-                {
-                    take_routers(result.value().rows);
-                    return;
-                }
-                next_routers_read_ = core_.now() + own_row_retry;
-            });
+        read_routers(now);
+    }
+}
+
+void daemon::ask_for_routers(base::time_point now)
+{
+    const auto* source = peers_.with_store(now, core_.draw());
+    if (source != nullptr && link_.ask(source->control))
+    {
+        schedule_routers_read(now);
     }
 }
 
+void daemon::write_own_row(base::time_point now)
+{
+    next_own_row_ = now + own_row_retry;
+    store_busy_ = true;
+    platform_.routers.write(own_row(),
+                            [this](const base::result<void>& result)
+                            {
+                                store_busy_ = false;
+                                own_row_written_ = static_cast<bool>(result);
+                            });
+}
+
+void daemon::read_routers(base::time_point now)
+{
+    schedule_routers_read(now);
+    store_busy_ = true;
+    platform_.routers.read_all(
+        [this](const base::result<rows_answer>& result)
+        {
+            store_busy_ = false;
+            if (result)
+            {
+                take_routers(result.value().rows);
+                return;
+            }
+            next_routers_read_ = core_.now() + own_row_retry;
+        });
+}
+
+void daemon::schedule_routers_read(base::time_point now)
+{
+    routers_pause_ = std::clamp(routers_pause_ * 2, routers_first_pause, routers_period);
+    next_routers_read_ = now + routers_pause_;
+}
+
 void daemon::set_shares_of_limits()
 {
     const auto routers = peers_.size() + 1;
@@ -129,9 +172,8 @@
     {
         upstreams_->set_pace(shared_gap, std::min(upstreams_hold, hold));
     }
-    // All follow the configuration, which the store answers at once when it changes: a router in a
-    // flood takes seconds to ask a peer. One that has peers to hear from may find late that its
-    // connection has gone silent, and that the store is back.
+    // A router that has peers to hear from may find late that its connection has gone silent, and
+    // that the store is back.
     const bool resting = upstreams_->resting();
     configurations_->set_pace({}, resting ? resting_hold
                                           : std::min(configuration_hold * pace, longest_hold));
@@ -164,7 +206,10 @@
         configuration_text_ = text;
         set_shares_of_limits();
         core_.pump();
-        link_.tell_zone();
+        if (!upstreams_->resting())
+        {
+            link_.tell_zone();
+        }
     }
 }
 
@@ -172,6 +217,7 @@
                             std::string_view from)
 {
     const auto now = core_.now();
+    std::vector<const row*> news;
     std::set<base::upstream_id> listed;
     if (whole_at)
     {
@@ -191,8 +237,12 @@
             continue;
         }
         listed.insert(id);
-        take_upstream(each, from);
+        if (take_upstream(each))
+        {
+            news.push_back(&each);
+        }
     }
+    log_news(news, from);
     if (whole_at)
     {
         for (const auto& id :
@@ -204,6 +254,36 @@
     core_.pump();
 }
 
+void daemon::log_news(const std::vector<const row*>& news, std::string_view from)
+{
+    if (news.size() > most_lines)
+    {
+        std::string all;
+        for (const auto* each : news)
+        {
+            const auto* entry = core_.directory.find(base::upstream_id(each->key));
+            all += each->key + (entry != nullptr && entry->draining ? " draining, " : ", ");
+        }
+        core_.log.line("upstreams", {{"count", news.size()},
+                                     {"from", from},
+                                     {"revision", news.back()->revision},
+                                     {"upstreams", all}});
+        return;
+    }
+    for (const auto* each : news)
+    {
+        if (const auto* entry = core_.directory.find(base::upstream_id(each->key)))
+        {
+            core_.log.line("upstream", {{"upstream", each->key},
+                                        {"service", entry->service.str()},
+                                        {"address", entry->address.ip},
+                                        {"draining", entry->draining},
+                                        {"from", from},
+                                        {"revision", each->revision}});
+        }
+    }
+}
+
 void daemon::log_removed(const base::upstream_id& id, std::string_view from, std::uint64_t revision,
                          std::string_view outcome)
 {
@@ -229,13 +309,13 @@
     log_dropped(core_.directory.expire(now), "grace_over");
 }
 
-void daemon::take_upstream(const row& each, std::string_view from)
+bool daemon::take_upstream(const row& each)
 {
     auto decoded = platform_.decode_upstream(each);
     if (!decoded)
     {
         drop_unreadable(each, decoded.error());
-        return;
+        return false;
     }
     const auto& entry = decoded.value();
     const auto* known = core_.directory.find(entry.id);
@@ -244,23 +324,15 @@
         core_.directory.put(entry, {.revision = each.revision, .heard = core_.now()});
     if (change == routing::upstream_directory::change::outdated)
     {
-        return;
+        return false;
     }
     unreadable_.erase(each.key);
     upstream_rows_[each.key] = each;
-    if (news)
-    {
-        core_.log.line("upstream", {{"upstream", each.key},
-                                    {"service", entry.service.str()},
-                                    {"address", entry.address.ip},
-                                    {"draining", entry.draining},
-                                    {"from", from},
-                                    {"revision", each.revision}});
-    }
     if (change == routing::upstream_directory::change::restarted)
     {
         core_.note_restarted(entry.id, entry.born);
     }
+    return news;
 }
 
 void daemon::drop_unreadable(const row& from, const base::error& why)
