--- a/tests/routing/test_peers.cpp
+++ b/tests/routing/test_peers.cpp
@@ -203,6 +203,29 @@
     BOOST_TEST(peers.newer(base::config_version{7}, now + 1s, 0) == nullptr);
 }
 
+// Symptom: the router that came first by name was asked for its copy by all others at one moment.
+BOOST_AUTO_TEST_CASE(who_is_asked_is_drawn_from_this_zone_first_and_then_from_all)
+{
+    auto peers = make();
+    for (const auto* name : {"a", "b", "c", "d"})
+    {
+        auto each = from(name);
+        each.version = base::config_version{8};
+        each.store_held = 5s;
+        each.zone = name < std::string("c") ? base::zone_id("elsewhere") : zone;
+        peers.heard(each, now);
+    }
+    auto newer_elsewhere = from("e");
+    newer_elsewhere.version = base::config_version{9};
+    newer_elsewhere.zone = base::zone_id("elsewhere");
+    peers.heard(newer_elsewhere, now);
+
+    BOOST_TEST(peers.with_store(now, 0)->id.str() == "c");
+    BOOST_TEST(peers.with_store(now, 0.99)->id.str() == "d");
+    BOOST_TEST(peers.newer(base::config_version{7}, now, 0.99)->id.str() == "e");
+    BOOST_TEST(peers.newer(base::config_version{9}, now, 0) == nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(a_peer_that_kept_the_store_says_since_when)
 {
     auto peers = make();
--- a/tests/routing/test_table_relay.cpp
+++ b/tests/routing/test_table_relay.cpp
@@ -161,6 +161,57 @@
     BOOST_TEST(states[size - 1].follows);
 }
 
+// Symptom: all routers of a fleet that started at one moment read all tables from the store.
+BOOST_AUTO_TEST_CASE(a_router_that_starts_waits_for_a_copy_and_then_asks)
+{
+    table_relay relay(id(0), {.leaving_notice = 3000ms});
+    relay.rely_on_others(start);
+    BOOST_TEST(!relay.follows(start + 900ms));
+    BOOST_TEST(relay.follows(start + 1000ms));
+
+    relay.rely_on_others(start);
+    relay.stop_relying();
+    BOOST_TEST(relay.follows(start));
+}
+
+// Symptom: the same, a second later: each had a copy, and knew nobody of its zone yet.
+BOOST_AUTO_TEST_CASE(a_router_that_starts_goes_by_a_confirmed_copy_until_it_hears_its_zone)
+{
+    table_relay relay(id(0), {.leaving_notice = 3000ms});
+    relay.rely_on_others(start);
+    const table_state copied{.follows = true, .answers = 1, .revision = 5, .mark = mark};
+    relay.note_copied(id(1), copied, start + 500ms);
+    relay.set_own(1, {.revision = 5, .mark = mark}, true, start + 500ms);
+    BOOST_TEST(!relay.follows(start + 2s));
+    // As for any copy that nobody confirms any more, in time for an upstream that leaves.
+    BOOST_TEST(relay.follows(start + 3s));
+
+    auto confirming = copied;
+    for (auto now = start + 1s; now <= start + 4s; now += 500ms)
+    {
+        ++confirming.answers;
+        relay.heard(id(1), 1, confirming, now);
+    }
+    BOOST_TEST(!relay.follows(start + 3900ms));
+    // In a zone of few routers each asks in the end.
+    BOOST_TEST(relay.follows(start + 4s));
+}
+
+BOOST_AUTO_TEST_CASE(a_router_that_hears_its_zone_asks_if_it_is_its_turn)
+{
+    table_relay relay(id(0), {.leaving_notice = 3000ms});
+    relay.rely_on_others(start);
+    const table_state copied{.follows = true, .answers = 1, .revision = 5, .mark = mark};
+    relay.note_copied(id(1), copied, start);
+    relay.set_own(4, {.revision = 5, .mark = mark}, true, start);
+    for (int number = 1; number < 6; ++number)
+    {
+        relay.heard(id(number), 1, copied, start + 100ms);
+    }
+
+    BOOST_TEST(relay.follows(start + 100ms));
+}
+
 BOOST_AUTO_TEST_CASE(in_a_small_zone_all_ask)
 {
     table_relay relay(id(0), {.leaving_notice = 3000ms});
