Router, Routing: each second a line on what shares are decided on, and on the processor's work

Of a workspace that got a fraction of another's no line told what its terms were decided on: the gap between two that ask too much was in none, the age of the other routers' counts neither, nor what a VM at its processor's limit spends it on. At most two lines a second a router, within the allowance of 100 for lines that aren't about requests. No decision changes.

--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -107,6 +107,9 @@
     scheduling::upstream_health health;
     /// Requests that came in, ever.
     std::uint64_t requests = 0;
+    /// Pieces of answers passed on, and requests refused as the processor is at its limit, ever.
+    std::uint64_t pieces = 0;
+    std::uint64_t busy_refusals = 0;
     /// SIGTERM came; new requests are refused from then on.
     std::optional<base::time_point> refuse_from;
 
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -180,8 +180,7 @@
     core_.board.drop_old_peers(now, peers_.period() * lost_digests);
     if (now >= next_rate_)
     {
-        request_rate_ = static_cast<double>(core_.requests - counted_requests_);
-        counted_requests_ = core_.requests;
+        account_second(now);
         next_rate_ = now + rate_period;
     }
     drop_missing(now);
@@ -224,6 +223,7 @@
     {
         core_.log.line("stood_still", {{"for_ms", since.count()}});
     }
+    latest_tick_ = std::max(latest_tick_, since - tick_period);
     const bool was_busy = core_.overload.busy();
     core_.overload.note_tick(since - tick_period, core_.streams);
     if (was_busy != core_.overload.busy())
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -43,12 +43,28 @@
     nlohmann::ordered_json state();
 
 private:
+    /// What the process had done, ever.
+    struct work_done
+    {
+        std::uint64_t requests = 0;
+        std::uint64_t refused = 0;
+        std::uint64_t pieces = 0;
+        std::uint64_t digests = 0;
+        std::uint64_t refusals = 0;
+        std::uint64_t lines_dropped = 0;
+    };
+
     void open_tables(const platform_port& platform);
     void open_listeners();
     void watch_signals();
 
     void tick();
     void notice_lateness(base::time_point now);
+    /// Rates, and the lines that tell each second what they and shares are.
+    void account_second(base::time_point now);
+    void log_shares(base::time_point now);
+    work_done work() const;
+    void log_work(const work_done& before, const work_done& now) const;
     /// After connections were refused for the rest of a tick.
     void resume_listening();
     void ask_peers(base::time_point now);
@@ -155,7 +171,8 @@
     std::size_t seed_ = 0;
     base::time_point next_rate_{};
     base::time_point next_readings_{};
-    std::uint64_t counted_requests_ = 0;
+    work_done counted_;
+    std::chrono::milliseconds latest_tick_{};
     double request_rate_ = 0;
     bool own_row_written_ = false;
     bool store_busy_ = false;
--- /dev/null
+++ b/src/libcaraway/router/daemon_report.cpp
@@ -0,0 +1,99 @@
+// What a router tells of itself each second: what its processor did, and what shares are decided
+// on.
+#include "libcaraway/router/daemon.hpp"
+
+#include <cmath>
+
+namespace caraway::router
+{
+
+namespace
+{
+
+/// Workspaces told of in a line: those that ask most here.
+constexpr std::size_t workspaces_told = 3;
+
+double rounded(double value, double unit)
+{
+    return std::isfinite(value) ? std::round(value / unit) * unit : -1;
+}
+
+double hundredths(double value)
+{
+    return std::round(value * 100) / 100;
+}
+
+nlohmann::ordered_json to_json(const routing::workspace_view& of)
+{
+    return {{"workspace", of.id.str()},
+            {"own_asked", rounded(of.own.asked, 1)},
+            {"own_served", rounded(of.own.served, 1)},
+            {"asked", rounded(of.all.asked, 1)},
+            {"served", rounded(of.all.served, 1)},
+            {"fill", hundredths(of.stands.fill)},
+            {"ahead", hundredths(of.stands.ahead)},
+            {"gap", hundredths(of.stands.gap)}};
+}
+
+}  // namespace
+
+void daemon::account_second(base::time_point now)
+{
+    const auto done = work();
+    request_rate_ = static_cast<double>(done.requests - counted_.requests);
+    if (core_.overload.busy())
+    {
+        log_work(counted_, done);
+    }
+    log_shares(now);
+    counted_ = done;
+    latest_tick_ = {};
+}
+
+daemon::work_done daemon::work() const
+{
+    return {.requests = core_.requests,
+            .refused = core_.busy_refusals,
+            .pieces = core_.pieces,
+            .digests = link_.heard(),
+            .refusals = callers_->refusals(),
+            .lines_dropped = core_.log.dropped()};
+}
+
+void daemon::log_work(const work_done& before, const work_done& now) const
+{
+    core_.log.line("work", {{"requests", now.requests - before.requests},
+                            {"refused", now.refused - before.refused},
+                            {"pieces", now.pieces - before.pieces},
+                            {"digests", now.digests - before.digests},
+                            {"refusals", now.refusals - before.refusals},
+                            {"lines_dropped", now.lines_dropped - before.lines_dropped},
+                            {"streams", core_.streams},
+                            {"limit", core_.overload.limit()},
+                            {"latest_ms", latest_tick_.count()}});
+}
+
+void daemon::log_shares(base::time_point now)
+{
+    auto told = nlohmann::ordered_json::array();
+    for (const auto& each : core_.shares.most_asked(workspaces_told, now))
+    {
+        if (each.all.served < each.all.asked)
+        {
+            told.push_back(to_json(each));
+        }
+    }
+    if (told.empty())
+    {
+        return;
+    }
+    const auto basis = core_.shares.basis(now);
+    core_.log.line("shares", {{"even_share", rounded(basis.even_share, 1)},
+                              {"least_backlogged", rounded(basis.least_backlogged, 1)},
+                              {"least_flooding", rounded(basis.least_flooding, 1)},
+                              {"mean_age_ms", basis.mean_age.count()},
+                              {"oldest_age_ms", basis.oldest_age.count()},
+                              {"workspaces", told}});
+}
+
+}  // namespace caraway::router
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -215,6 +215,7 @@
         core_.log.line("digest_unreadable", {{"because", received.error().message}});
         return;
     }
+    ++heard_;
     auto& from = received.value();
     const auto now = core_.now();
     if (!peers_.heard(from, now))
--- a/src/libcaraway/router/peer_link.hpp
+++ b/src/libcaraway/router/peer_link.hpp
@@ -55,6 +55,11 @@
     {
         return unanswered_;
     }
+    /// Digests taken in, ever.
+    std::uint64_t heard() const
+    {
+        return heard_;
+    }
 
 private:
     using udp = boost::asio::ip::udp;
@@ -74,6 +79,7 @@
     udp::socket socket_;
     base::time_point last_heard_{};
     std::size_t unanswered_ = 0;
+    std::uint64_t heard_ = 0;
     std::array<char, 65536> buffer_{};
     http::whole_caller caller_;
 };
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -174,6 +174,7 @@
     }
     begin_answer(of);
     note_pause();
+    ++core_.pieces;
     request_->write(ready);
 }
 
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -130,6 +130,7 @@
                                                   std::max(1U, service_->engine->tokens_per_event)};
     if (!core_.overload.admits(effort, core_.streams, core_.draw()))
     {
+        ++core_.busy_refusals;
         refuse("router_busy");
         return false;
     }
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -134,6 +134,45 @@
             .ahead = wanted >= 1 ? all.served / least_backlogged_ : 0};
 }
 
+std::vector<workspace_view> workspace_shares::most_asked(std::size_t count, base::time_point now)
+{
+    std::vector<workspace_view> views;
+    for (const auto& [id, usage] : own(now))
+    {
+        views.push_back({.id = id, .own = usage});
+    }
+    std::sort(views.begin(), views.end(),
+              [](const auto& a, const auto& b) { return a.own.asked > b.own.asked; });
+    views.resize(std::min(count, views.size()));
+    for (auto& each : views)
+    {
+        each.stands = of(each.id, false, now);
+        each.all = total_[each.id];
+    }
+    return views;
+}
+
+share_basis workspace_shares::basis(base::time_point now)
+{
+    using std::chrono::milliseconds;
+    share_basis out{.even_share = even_share_,
+                    .least_backlogged = least_backlogged_,
+                    .least_flooding = least_flooding_};
+    base::duration sum{};
+    for (const auto& [peer, known] : peers_)
+    {
+        const auto age = now - known.heard;
+        sum += age;
+        out.oldest_age = std::max(out.oldest_age, std::chrono::duration_cast<milliseconds>(age));
+    }
+    if (!peers_.empty())
+    {
+        out.mean_age =
+            std::chrono::duration_cast<milliseconds>(sum / static_cast<int>(peers_.size()));
+    }
+    return out;
+}
+
 std::int64_t workspace_shares::part_number(base::time_point now) const
 {
     const base::duration part = options_.window / static_cast<int>(parts);
--- a/src/libcaraway/routing/workspace_shares.hpp
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -31,6 +31,29 @@
 
 using workspace_usages = std::map<base::workspace_id, workspace_usage>;
 
+/// A workspace's counts as a router sees them, for its log.
+struct workspace_view
+{
+    base::workspace_id id;
+    workspace_usage own;
+    workspace_usage all;
+    standing stands;
+};
+
+/// What shares are decided on, for the log.
+struct share_basis
+{
+    /// Tokens that a workspace is due in the window.
+    double even_share = 0;
+    /// The least that a backlogged workspace has had, and the least that one has had that asks for
+    /// more than its share; infinite if there is none.
+    double least_backlogged = 0;
+    double least_flooding = 0;
+    /// How long ago the other routers' counts were heard.
+    std::chrono::milliseconds mean_age{};
+    std::chrono::milliseconds oldest_age{};
+};
+
 struct share_options
 {
     /// The time over which shares are kept.
@@ -76,6 +99,10 @@
     /// the share already if these ask for all of it.
     standing of(const base::workspace_id& id, bool returned, base::time_point now);
 
+    /// Those that asked most at this router, at most `count`.
+    std::vector<workspace_view> most_asked(std::size_t count, base::time_point now);
+    share_basis basis(base::time_point now);
+
 private:
     /// Parts of the window that are dropped at a time; a count is at most an eighth too old.
     static constexpr std::size_t parts = 8;
