--- a/tests/routing/test_workspace_shares.cpp
+++ b/tests/routing/test_workspace_shares.cpp
@@ -3,6 +3,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 using namespace caraway;
 using namespace std::chrono_literals;
 using routing::workspace_shares;
@@ -23,6 +26,35 @@
     return shares;
 }
 
+/// Tokens that a workspace asked for and had in the window.
+struct counted
+{
+    base::workspace_id id;
+    double asked = 0;
+    double served = 0;
+};
+
+/// Shares of so many tokens a window, as counted by one router.
+workspace_shares with_counts(double window_tokens, const std::vector<counted>& of)
+{
+    workspace_shares shares({.window = 4000ms, .refresh = 0ms});
+    shares.set_capacity(window_tokens / 4);
+    for (const auto& each : of)
+    {
+        shares.count_asked(each.id, each.asked, now);
+        shares.count_served(each.id, each.served, now);
+    }
+    return shares;
+}
+
+/// Places of an engine of 32 slots on a workspace's terms.
+double places(workspace_shares& shares, const base::workspace_id& of)
+{
+    const routing::route route{.latency_target = 400ms};
+    const auto terms = routing::admit(route, shares.of(of, false, now + 1ms));
+    return terms.closed ? 0 : std::max(1.0, std::floor(32 * terms.slot_share));
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(workspace_share_counts)
@@ -102,6 +134,18 @@
     BOOST_TEST(!routing::admit(route, shares.of(third, false, now + 2ms)).closed);
 }
 
+// A small workspace that waits must not level two large ones that have had more or less.
+BOOST_AUTO_TEST_CASE(a_small_workspace_that_waits_leaves_two_large_ones_in_their_order)
+{
+    auto shares = with_counts(2'730'827, {{.id = large, .asked = 32'430'091, .served = 1'792'587},
+                                          {.id = third, .asked = 12'366'737, .served = 1'361'526},
+                                          {.id = small, .asked = 40'185, .served = 15'677}});
+
+    BOOST_TEST(shares.fill(third, now + 1ms) > 1);
+    BOOST_TEST(places(shares, third) > places(shares, large));
+    BOOST_TEST(places(shares, small) == 32);
+}
+
 BOOST_AUTO_TEST_CASE(nobody_is_ahead_while_all_get_what_they_ask)
 {
     auto shares = make();
