Routing: of two workspaces that ask too much the order is by what each has had, not by a small one that waits

Cause: 'ahead' was measured against the backlogged workspace that had had least. A request that returns counts as asked again, so any small workspace with one refusal is backlogged for a window; with 15,677 tokens as the reference all large ones were 86 to 2,900,000 times ahead, their terms shrank to one empty engine alike, and who asks at 86 routers finds it before who asks at one.

Ruled out: old counts (mean age 0.11 to 0.28 s, oldest 0.57 s).

Now 'ahead' is against the least of those that ask for more than their share and wait, and bounds the gap by the same figure; while only small ones wait it is 1, as these have terms of their own (fill < 1). What returned after a refusal keeps the strictest terms.

The check of the gap in the tests reads 'ahead' now, the same figure.

--- a/src/libcaraway/router/daemon_report.cpp
+++ b/src/libcaraway/router/daemon_report.cpp
@@ -31,8 +31,7 @@
             {"asked", rounded(of.all.asked, 1)},
             {"served", rounded(of.all.served, 1)},
             {"fill", hundredths(of.stands.fill)},
-            {"ahead", hundredths(of.stands.ahead)},
-            {"gap", hundredths(of.stands.gap)}};
+            {"ahead", hundredths(of.stands.ahead)}};
 }
 
 }  // namespace
@@ -89,7 +88,7 @@
     }
     const auto basis = core_.shares.basis(now);
     core_.log.line("shares", {{"even_share", rounded(basis.even_share, 1)},
-                              {"least_backlogged", rounded(basis.least_backlogged, 1)},
+                              {"backlogged", basis.backlogged},
                               {"least_flooding", rounded(basis.least_flooding, 1)},
                               {"mean_age_ms", basis.mean_age.count()},
                               {"oldest_age_ms", basis.oldest_age.count()},
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -126,7 +126,6 @@
         const auto of = standing();
         line["fill"] = hundredths(of.fill);
         line["ahead"] = hundredths(of.ahead);
-        line["gap"] = hundredths(of.gap);
     }
     if (!tried_.empty())
     {
--- a/src/libcaraway/routing/admission.cpp
+++ b/src/libcaraway/routing/admission.cpp
@@ -23,16 +23,16 @@
 admission_terms admit(const route& by, const standing& of, const admission_options& options)
 {
     const auto target = by.latency_target;
-    if (of.gap >= options.widest_gap)
-    {
-        return {.hold = part_of(target, options.hold_beyond), .closed = true};
-    }
     if (of.fill < 1)
     {
         return {.longest_wait = part_of(target, options.engine_wait),
                 .slot_share = 1,
                 .hold = part_of(target, options.hold)};
     }
+    if (of.ahead >= options.widest_gap)
+    {
+        return {.slot_share = 0, .hold = part_of(target, options.hold_beyond), .closed = true};
+    }
     // Capacity that nobody within its share wants is for whoever asks; of two that are beyond
     // theirs the one that has had less finds more places, so that they come out alike.
     const auto hold = part_of(target, options.hold_beyond);
@@ -42,7 +42,8 @@
                 .slot_share = options.slots_beyond,
                 .hold = hold};
     }
-    const double part = 1 / (1 + options.ahead_slope * std::max(0.0, of.ahead - 1));
+    const double order = 1 / (1 + options.ahead_slope * std::max(0.0, of.ahead - 1));
+    const double part = of.returned ? 0 : order;
     return {.longest_wait = part_of(target, options.engine_wait_contended * part),
             .slot_share = options.slots_contended * part,
             .most_repeated = options.repeated_contended,
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -1,6 +1,7 @@
 #include "libcaraway/routing/workspace_shares.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace caraway::routing
@@ -108,11 +109,16 @@
 
 double workspace_shares::ahead(const base::workspace_id& id, base::time_point now)
 {
-    if (fill(id, now) < 1)
+    return fill(id, now) < 1 ? 0 : ahead_of_others(id);
+}
+
+double workspace_shares::ahead_of_others(const base::workspace_id& id) const
+{
+    if (!backlogged_)
     {
         return 0;
     }
-    return total_[id].served / least_backlogged_;
+    return std::isinf(least_flooding_) ? 1 : total_.at(id).served / least_flooding_;
 }
 
 standing workspace_shares::of(const base::workspace_id& id, bool returned, base::time_point now)
@@ -122,16 +128,9 @@
         return {};
     }
     const double had = fill(id, now);
-    const auto& all = total_[id];
-    if (!returned || had >= 1)
-    {
-        return {.fill = had,
-                .ahead = ahead(id, now),
-                .gap = had >= 1 ? all.served / least_flooding_ : 0};
-    }
-    const double wanted = all.asked / even_share_;
-    return {.fill = std::max(had, wanted),
-            .ahead = wanted >= 1 ? all.served / least_backlogged_ : 0};
+    const double wanted = total_[id].asked / even_share_;
+    const double counted = returned ? std::max(had, wanted) : had;
+    return {.fill = counted, .ahead = counted < 1 ? 0 : ahead_of_others(id), .returned = returned};
 }
 
 std::vector<workspace_view> workspace_shares::most_asked(std::size_t count, base::time_point now)
@@ -155,9 +154,8 @@
 share_basis workspace_shares::basis(base::time_point now)
 {
     using std::chrono::milliseconds;
-    share_basis out{.even_share = even_share_,
-                    .least_backlogged = least_backlogged_,
-                    .least_flooding = least_flooding_};
+    share_basis out{
+        .even_share = even_share_, .backlogged = backlogged_, .least_flooding = least_flooding_};
     base::duration sum{};
     for (const auto& [peer, known] : peers_)
     {
@@ -225,26 +223,27 @@
         }
     }
     std::vector<double> demands;
-    least_backlogged_ = std::numeric_limits<double>::infinity();
+    backlogged_ = false;
     for (const auto& [id, usage] : total_)
     {
         demands.push_back(usage.asked);
-        if (usage.served < options_.backlogged_below * usage.asked)
-        {
-            least_backlogged_ = std::min(least_backlogged_, std::max(usage.served, 1.0));
-        }
+        backlogged_ = backlogged_ || waits(usage);
     }
     const double seconds = std::chrono::duration<double>(options_.window).count();
     even_share_ = max_min_level(std::move(demands), capacity_ * seconds);
     least_flooding_ = std::numeric_limits<double>::infinity();
     for (const auto& [id, usage] : total_)
     {
-        const bool waits = usage.served < options_.backlogged_below * usage.asked;
-        if (waits && usage.asked > even_share_)
+        if (waits(usage) && usage.asked > even_share_)
         {
             least_flooding_ = std::min(least_flooding_, std::max(usage.served, 1.0));
         }
     }
 }
 
+bool workspace_shares::waits(const workspace_usage& usage) const
+{
+    return usage.served < options_.backlogged_below * usage.asked;
+}
+
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/workspace_shares.hpp
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -18,15 +18,14 @@
     double served = 0;
 };
 
-/// What a workspace has had: of its share, 1 being all (workspace_shares::fill), and against the
-/// backlogged one that has had least (workspace_shares::ahead).
+/// What a workspace has had: of its share, 1 being all (workspace_shares::fill), and against others
+/// that wait (workspace_shares::ahead).
 struct standing
 {
     double fill = 0;
     double ahead = 0;
-    /// What it has had against the least that any workspace has had that asks for more than its
-    /// share; 0 while none of them waits, or within its own share.
-    double gap = 0;
+    /// Came back after a refusal: late before it begins.
+    bool returned = false;
 };
 
 using workspace_usages = std::map<base::workspace_id, workspace_usage>;
@@ -45,9 +44,9 @@
 {
     /// Tokens that a workspace is due in the window.
     double even_share = 0;
-    /// The least that a backlogged workspace has had, and the least that one has had that asks for
-    /// more than its share; infinite if there is none.
-    double least_backlogged = 0;
+    /// Some workspace gets less than it asks.
+    bool backlogged = false;
+    /// The least that one has had that asks for more than its share; infinite if none waits.
     double least_flooding = 0;
     /// How long ago the other routers' counts were heard.
     std::chrono::milliseconds mean_age{};
@@ -91,12 +90,13 @@
 
     /// What the workspace has had of what it is due in the window: 1 is all of it.
     double fill(const base::workspace_id& id, base::time_point now);
-    /// What it has had against the backlogged workspace that has had least; 0 while nobody is
-    /// backlogged. Beyond their shares workspaces divide what is left over evenly: one that is
-    /// ahead of a backlogged one gives way to it.
+    /// Beyond its share, what it has had against the least that any has had that asks for more than
+    /// its share and waits: they divide what is left over evenly. 1 while only workspaces wait that
+    /// ask for less: these go first by their own terms, and say nothing of the order of the others.
+    /// 0 while nobody waits.
     double ahead(const base::workspace_id& id, base::time_point now);
-    /// Both. A request that `returned` after a refusal stands behind the fresh ones: it is beyond
-    /// the share already if these ask for all of it.
+    /// All of it. A request that `returned` after a refusal stands behind the fresh ones: it is
+    /// beyond the share already if these ask for all of it.
     standing of(const base::workspace_id& id, bool returned, base::time_point now);
 
     /// Those that asked most at this router, at most `count`.
@@ -118,6 +118,8 @@
     workspace_usage sum(sliding& of, base::time_point now) const;
     void slide(sliding& of, std::int64_t to) const;
     void allocate(base::time_point now);
+    bool waits(const workspace_usage& usage) const;
+    double ahead_of_others(const base::workspace_id& id) const;
 
     struct peer_usages
     {
@@ -132,9 +134,9 @@
     /// Fleet-wide, as of the last allocation.
     workspace_usages total_;
     double even_share_ = 0;
-    /// The least that a backlogged workspace has had; infinite if none is.
-    double least_backlogged_ = 0;
-    /// The least of those that ask for more than an even share; infinite if none waits.
+    /// Some workspace gets less than it asks.
+    bool backlogged_ = false;
+    /// The least that one has had that asks for more than an even share; infinite if none waits.
     double least_flooding_ = std::numeric_limits<double>::infinity();
     base::time_point allocated_{};
 };
--- a/tests/routing/test_workspace_shares.cpp
+++ b/tests/routing/test_workspace_shares.cpp
@@ -125,7 +125,7 @@
     shares.count_served(third, 1800, now);
 
     const auto before = shares.of(large, false, now + 1ms);
-    BOOST_TEST(before.gap == 3000.0 / 1800.0);
+    BOOST_TEST(before.ahead == 3000.0 / 1800.0);
     BOOST_TEST(routing::admit(route, before).closed);
     // A small workspace that waits for its first request is no measure.
     shares.count_served(third, 1000, now + 2ms);
