Routing: at the processor's limit new connections give way before streams

Cause: both limits of the guard fell at each late tick, whatever made it late. In a flood that is requests that are read to be refused; the limit of streams fell to a few dozen and grew again by a twentieth a tick, while connections, which weren't late by then, grew as well and took what the processor had.

Now a late tick lowers the connections that a tick may take, and the streams only once these are at their least; and a tick takes no more connections than streams that may still start.

--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -136,7 +136,7 @@
     };
     callers_ = make(
         limits, [this](const auto& request) { core_.handle(request); }, for_callers);
-    callers_->set_admission([this] { return core_.overload.take_connection(); });
+    callers_->set_admission([this] { return core_.overload.take_connection(core_.streams); });
     readiness_ = make(
         own_limits, [this](const auto& request) { answer_readiness(request); }, others);
     directory_ = make(
--- a/src/libcaraway/router/daemon_report.cpp
+++ b/src/libcaraway/router/daemon_report.cpp
@@ -23,6 +23,12 @@
     return std::round(value * 100) / 100;
 }
 
+/// -1: there is none.
+std::int64_t told_limit(std::size_t limit)
+{
+    return limit == routing::stepped_limit::unlimited ? -1 : static_cast<std::int64_t>(limit);
+}
+
 nlohmann::ordered_json to_json(const routing::workspace_view& of)
 {
     return {{"workspace", of.id.str()},
@@ -68,7 +74,7 @@
                             {"refusals", now.refusals - before.refusals},
                             {"lines_dropped", now.lines_dropped - before.lines_dropped},
                             {"streams", core_.streams},
-                            {"limit", core_.overload.limit()},
+                            {"limit", told_limit(core_.overload.limit())},
                             {"latest_ms", latest_tick_.count()}});
 }
 
--- a/src/libcaraway/routing/overload_guard.cpp
+++ b/src/libcaraway/routing/overload_guard.cpp
@@ -29,87 +29,78 @@
     return taken >= part_of(limit, reached_part);
 }
 
-std::size_t raised(std::size_t limit, double growth)
+}  // namespace
+
+void stepped_limit::lower(std::size_t taken, double decrease, std::size_t least)
 {
-    return limit + std::max<std::size_t>(1, part_of(limit, growth));
+    value_ = std::max(least, std::min(value_, part_of(taken, decrease)));
+    calm_in_a_row_ = 0;
 }
 
-std::size_t lowered(std::size_t limit, std::size_t taken, double decrease, std::size_t least)
+void stepped_limit::raise(std::size_t taken, double growth)
 {
-    return std::max(least, std::min(limit, part_of(taken, decrease)));
+    if (!is_set())
+    {
+        return;
+    }
+    if (is_reached(value_, taken))
+    {
+        value_ += std::max<std::size_t>(1, part_of(value_, growth));
+        calm_in_a_row_ = 0;
+        return;
+    }
+    if (++calm_in_a_row_ >= calm_ticks)
+    {
+        value_ = unlimited;
+    }
 }
 
-}  // namespace
-
 overload_guard::overload_guard(overload_options options) : options_(options) {}
 
-bool overload_guard::take_connection()
+bool overload_guard::take_connection(std::size_t under_way)
 {
-    ++connections_;
-    return connections_ < connection_limit_;
+    ++taken_;
+    const auto room = streams_.value() - std::min(streams_.value(), under_way);
+    const auto most = std::min(connections_.value(), room);
+    return taken_ < std::max(options_.least_connections, most);
 }
 
 bool overload_guard::admits(const stream_effort& of, std::size_t under_way, double draw)
 {
     const auto yield = of.yield();
     usual_yield_ += (yield - usual_yield_) * yield_step;
-    if (!busy())
+    if (!streams_.is_set())
     {
         return true;
     }
     const bool poor = yield < options_.poor * usual_yield_;
-    return under_way < limit_ && (!poor || draw < options_.poor_chance);
+    return under_way < limit() && (!poor || draw < options_.poor_chance);
 }
 
 void overload_guard::note_tick(std::chrono::milliseconds late, std::size_t under_way)
 {
+    const auto taken = std::exchange(taken_, 0);
     if (late >= options_.stood_still)
     {
-        connections_ = 0;
         return;
     }
-    limit_connections(late > options_.target);
-    if (late > options_.target)
+    if (late <= options_.target)
     {
-        calm_in_a_row_ = 0;
-        if (++late_in_a_row_ >= options_.late_ticks)
-        {
-            limit_ = lowered(limit_, under_way, options_.decrease, options_.least);
-        }
+        late_in_a_row_ = 0;
+        connections_.raise(taken, options_.growth);
+        streams_.raise(under_way, options_.growth);
         return;
     }
-    late_in_a_row_ = 0;
-    if (limit_ == unlimited)
+    if (++late_in_a_row_ < options_.late_ticks)
     {
         return;
     }
-    const bool reached = is_reached(limit_, under_way);
-    limit_ = reached ? raised(limit_, options_.growth) : limit_;
-    calm_in_a_row_ = reached ? 0 : calm_in_a_row_ + 1;
-    if (calm_in_a_row_ >= calm_ticks)
+    if (taken > options_.least_connections)
     {
-        limit_ = unlimited;
-    }
-}
-
-/// By the same measure and in the same steps as streams, once there is a limit to these.
-void overload_guard::limit_connections(bool late)
-{
-    const auto taken = std::exchange(connections_, 0);
-    if (!busy())
-    {
-        connection_limit_ = unlimited;
+        connections_.lower(taken, options_.decrease_connections, options_.least_connections);
         return;
     }
-    if (late)
-    {
-        connection_limit_ =
-            lowered(connection_limit_, taken, options_.decrease, options_.least_connections);
-    }
-    else if (connection_limit_ != unlimited && is_reached(connection_limit_, taken))
-    {
-        connection_limit_ = raised(connection_limit_, options_.growth);
-    }
+    streams_.lower(under_way, options_.decrease, options_.least);
 }
 
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/overload_guard.hpp
+++ b/src/libcaraway/routing/overload_guard.hpp
@@ -20,12 +20,13 @@
     /// A tick so late is a VM that stood still, not one that has too much to do.
     std::chrono::milliseconds stood_still{700};
     /// At each late tick the limit becomes this part of what is under way; at each that isn't it
-    /// grows by `growth`. Halving took a VM of 0.12 cores below what it could carry each second.
+    /// grows by `growth`.
     double decrease = 0.85;
     double growth = 0.05;
     std::size_t least = 16;
     /// The same for new connections of callers in a tick: 40 a second on ticks of 100 ms, so that
     /// callers of all workspaces, and checks, still come in.
+    double decrease_connections = 0.7;
     std::size_t least_connections = 4;
     /// A request that brings less than this part of the usual tokens for each event ...
     double poor = 0.5;
@@ -50,10 +51,35 @@
     }
 };
 
+/// How many of something may be: lowered to a part of what there was at each tick that is late,
+/// raised while it is reached and none is, gone after some seconds of neither.
+class stepped_limit
+{
+public:
+    static constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
+
+    void lower(std::size_t taken, double decrease, std::size_t least);
+    void raise(std::size_t taken, double growth);
+    std::size_t value() const
+    {
+        return value_;
+    }
+    bool is_set() const
+    {
+        return value_ != unlimited;
+    }
+
+private:
+    std::size_t value_ = unlimited;
+    int calm_in_a_row_ = 0;
+};
+
 /// Keeps a router from taking more streams than its processor can pass on. A workspace's callers
 /// may all hold on to one small VM and ask several times what it can carry; taken all, each waits
 /// in the event loop until its caller leaves, and nobody is served. The measure is how late timers
 /// fire, the only one that the process can see: its share of a processor isn't in its own clock.
+///
+/// New connections give way first: beyond the limits their requests are read only to be refused.
 class overload_guard
 {
 public:
@@ -61,35 +87,28 @@
 
     /// A regular timer fired so late, with so many streams under way.
     void note_tick(std::chrono::milliseconds late, std::size_t under_way);
-    /// Counts a caller's new connection; whether the tick may take another. A router at its limit
-    /// reads and refuses a thousand requests a second of callers who come back to it whatever they
-    /// are told; on 0.12 cores that takes the processor from the streams that it has.
-    bool take_connection();
+    /// Counts a caller's new connection, with so many streams under way; whether the tick may take
+    /// another.
+    bool take_connection(std::size_t under_way);
     /// Whether one more may be taken, with so many under way; `draw` is uniform in [0, 1).
     bool admits(const stream_effort& of, std::size_t under_way, double draw);
     /// The processor is at its limit.
     bool busy() const
     {
-        return limit_ != unlimited;
+        return streams_.is_set() || connections_.is_set();
     }
     std::size_t limit() const
     {
-        return limit_;
+        return streams_.value();
     }
 
 private:
-    static constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
-
-    /// At the end of a tick that was late or not.
-    void limit_connections(bool late);
-
     overload_options options_;
-    std::size_t limit_ = unlimited;
-    /// New connections of callers that a tick may take, and those that this one took.
-    std::size_t connection_limit_ = unlimited;
-    std::size_t connections_ = 0;
+    stepped_limit streams_;
+    /// New connections of callers in a tick, and those that this one took.
+    stepped_limit connections_;
+    std::size_t taken_ = 0;
     int late_in_a_row_ = 0;
-    int calm_in_a_row_ = 0;
     /// Moving mean of what is asked.
     double usual_yield_ = 0;
 };
--- a/tests/routing/test_overload_guard.cpp
+++ b/tests/routing/test_overload_guard.cpp
@@ -48,6 +48,8 @@
     double behind_ms = 0;
     std::size_t under_way = 0;
     std::size_t taken = 0;
+    /// Engines have places for what the guard admits.
+    bool places = true;
 
     void tick(std::size_t connections)
     {
@@ -56,9 +58,9 @@
         bool refuses = false;
         for (std::size_t count = 0; count < connections && !refuses; ++count)
         {
-            refuses = !guard.take_connection();
+            refuses = !guard.take_connection(under_way);
             ++taken;
-            under_way += guard.admits(ordinary, under_way, 0.5) ? 1 : 0;
+            under_way += places && guard.admits(ordinary, under_way, 0.5) ? 1 : 0;
         }
         const auto work =
             static_cast<double>(taken) * connection_ms + static_cast<double>(under_way) * stream_ms;
@@ -102,6 +104,21 @@
     BOOST_TEST(vm.mean_under_way(130, 300) >= 75);
 }
 
+// Refusals for want of places at engines must not lower the number of streams that a VM takes
+// later.
+BOOST_AUTO_TEST_CASE(a_flooded_router_takes_what_it_can_carry_once_engines_have_places_again)
+{
+    flooded_vm vm;
+    vm.mean_under_way(130, 100);
+    vm.places = false;
+    vm.mean_under_way(130, 30);
+    vm.places = true;
+    vm.mean_under_way(130, 10);
+
+    // As in the flood before: three quarters of the hundred that it carries.
+    BOOST_TEST(vm.mean_under_way(130, 10) >= 75);
+}
+
 // Checks, and callers of other workspaces, still come in.
 BOOST_AUTO_TEST_CASE(a_flooded_router_still_takes_some_connections)
 {
