HTTP: a listener that opens again at once stays open

At its bound a listener closes its socket and still asked for the next connection. Now it asks only while it listens. Test red before: 2 refusals instead of 1.

--- a/src/libcaraway/http/listener.cpp
+++ b/src/libcaraway/http/listener.cpp
@@ -136,7 +136,10 @@
             }
             take(std::move(socket));
             accept_waiting();
-            accept();
+            if (!refusing_)
+            {
+                accept();
+            }
         });
 }
 
--- a/tests/http/test_server_connection.cpp
+++ b/tests/http/test_server_connection.cpp
@@ -268,6 +268,23 @@
     BOOST_TEST(!listener.refusing());
 }
 
+// A failed wait for connections from before a pause must not begin another one.
+BOOST_AUTO_TEST_CASE(a_listener_that_opens_again_at_once_stays_open)
+{
+    bool more = false;
+    listener.set_admission([&] { return more; });
+    boost::asio::io_context elsewhere;
+    const auto end = connect_to(elsewhere, listener.port());
+    BOOST_REQUIRE(becomes_true([&] { return listener.refusing(); }));
+
+    more = true;
+    listener.resume();
+    settle();
+
+    BOOST_TEST(!listener.refusing());
+    BOOST_TEST(listener.refusals() == 1U);
+}
+
 // Its caller must be able to tell that nothing was read: no byte of an answer, and no request.
 BOOST_AUTO_TEST_CASE(connections_that_wait_at_the_bound_end_unread)
 {
