--- a/src/libcaraway/routing/overload_guard.cpp
+++ b/src/libcaraway/routing/overload_guard.cpp
@@ -73,8 +73,7 @@
     {
         return true;
     }
-    const bool scarce = is_reached(limit(), under_way);
-    const bool poor = scarce && yield < options_.poor * usual_yield_;
+    const bool poor = yield < options_.poor * usual_yield_;
     return under_way < limit() && (!poor || draw < options_.poor_chance);
 }
 
--- a/src/libcaraway/routing/overload_guard.hpp
+++ b/src/libcaraway/routing/overload_guard.hpp
@@ -30,9 +30,8 @@
     std::size_t least_connections = 4;
     /// A request that brings less than this part of the usual tokens for each event ...
     double poor = 0.5;
-    /// ... is let in this often while the limit of streams is reached. With the processor as what
-    /// is short, a workspace so gets more of its tokens through; none of its kinds of request
-    /// starves.
+    /// ... is let in this often while the router is busy. With the processor as what is short, a
+    /// workspace so gets more of its tokens through; none of its kinds of request starves.
     double poor_chance = 0.35;
 };
 
