Router, Routing: what a router tells of itself is filled in at one place

A digest, the row of a router, its own entry for the directory and what is noted of a peer named the same six to ten fields each by itself. 'identity' and 'presence' fill them, 'peer_of' takes them over. Nothing told changes.

--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -106,6 +106,9 @@
     table_copy make_copy(base::config_version peer_has) const;
     /// The same as text.
     const std::string& copy_for(base::config_version peer_has);
+    /// Who this router is and where it is reached; then whether and how it takes callers.
+    routing::digest identity() const;
+    routing::digest presence() const;
     routing::digest make_digest();
     row own_row() const;
     routing::peer self() const;
--- a/src/libcaraway/router/daemon_peers.cpp
+++ b/src/libcaraway/router/daemon_peers.cpp
@@ -147,14 +147,7 @@
             core_.log.line("router_row_unreadable", {{"router", each.key}});
             continue;
         }
-        const auto& of = decoded.value();
-        peers_.introduce({.id = of.from,
-                          .life = of.life,
-                          .zone = of.zone,
-                          .callers = of.callers,
-                          .control = of.control,
-                          .datagrams = of.datagrams},
-                         now);
+        peers_.introduce(routing::peer_of(decoded.value()), now);
     }
 }
 
@@ -230,62 +223,56 @@
     return copy;
 }
 
-routing::digest daemon::make_digest()
+routing::digest daemon::identity() const
 {
     const auto& at = core_.options;
+    return {.from = at.name,
+            .life = life_,
+            .zone = at.zone,
+            .callers = at.callers,
+            .control = at.control,
+            .datagrams = at.datagrams};
+}
+
+routing::digest daemon::presence() const
+{
+    auto out = identity();
+    out.ready = ready();
+    out.capacity = core_.options.capacity;
+    out.request_rate = request_rate_;
+    return out;
+}
+
+routing::digest daemon::make_digest()
+{
     const auto now = core_.now();
-    routing::reading_records readings;
+    auto out = presence();
+    out.number = ++digests_;
+    out.version = core_.version();
+    out.store_held = std::chrono::duration_cast<milliseconds>(upstreams_->held(now));
+    out.loads = core_.board.own();
+    out.usages = core_.shares.own(now);
+    out.suspects = core_.crashes.entries(now);
+    out.refused = core_.refused.told(told_digests * peers_.period(), now);
     if (now >= next_readings_)
     {
         next_readings_ = now + readings_period;
         core_.pace.refresh(now);
-        readings = core_.pace.own(now);
+        out.readings = core_.pace.own(now);
     }
-    return {.from = at.name,
-            .life = life_,
-            .number = ++digests_,
-            .zone = at.zone,
-            .callers = at.callers,
-            .control = at.control,
-            .datagrams = at.datagrams,
-            .ready = ready(),
-            .capacity = at.capacity,
-            .request_rate = request_rate_,
-            .version = core_.version(),
-            .store_held = std::chrono::duration_cast<milliseconds>(upstreams_->held(core_.now())),
-            .loads = core_.board.own(),
-            .usages = core_.shares.own(core_.now()),
-            .suspects = core_.crashes.entries(core_.now()),
-            .refused = core_.refused.told(told_digests * peers_.period(), core_.now()),
-            .readings = std::move(readings),
-            .leaving = core_.directory.leaving(now),
-            .tables = tables()};
+    out.leaving = core_.directory.leaving(now);
+    out.tables = tables();
+    return out;
 }
 
 routing::peer daemon::self() const
 {
-    const auto& at = core_.options;
-    return {.id = at.name,
-            .life = life_,
-            .zone = at.zone,
-            .callers = at.callers,
-            .control = at.control,
-            .datagrams = at.datagrams,
-            .ready = ready(),
-            .capacity = at.capacity,
-            .request_rate = request_rate_};
+    return routing::peer_of(presence());
 }
 
 row daemon::own_row() const
 {
-    const auto& at = core_.options;
-    const routing::digest self{.from = at.name,
-                               .life = life_,
-                               .zone = at.zone,
-                               .callers = at.callers,
-                               .control = at.control,
-                               .datagrams = at.datagrams};
-    return {.key = at.name.str(), .value = routing::encode(self)};
+    return {.key = core_.options.name.str(), .value = routing::encode(identity())};
 }
 
 }  // namespace caraway::router
--- a/src/libcaraway/routing/peer_table.cpp
+++ b/src/libcaraway/routing/peer_table.cpp
@@ -26,6 +26,22 @@
 
 }  // namespace
 
+peer peer_of(const digest& from)
+{
+    return {.id = from.from,
+            .life = from.life,
+            .number = from.number,
+            .zone = from.zone,
+            .callers = from.callers,
+            .control = from.control,
+            .datagrams = from.datagrams,
+            .ready = from.ready,
+            .capacity = from.capacity,
+            .request_rate = from.request_rate,
+            .version = from.version,
+            .store_held = from.store_held};
+}
+
 peer_table::peer_table(base::node_id self, base::zone_id zone, peer_options options)
     : self_(std::move(self)), zone_(std::move(zone)), options_(options)
 {
@@ -68,21 +84,10 @@
         return false;
     }
     const auto last_sent = known.last_sent;
-    known = {.id = from.from,
-             .life = from.life,
-             .number = from.number,
-             .zone = from.zone,
-             .callers = from.callers,
-             .control = from.control,
-             .datagrams = from.datagrams,
-             .ready = from.ready,
-             .capacity = from.capacity,
-             .request_rate = from.request_rate,
-             .version = from.version,
-             .store_held = from.store_held,
-             .heard = now,
-             .known_since = now,
-             .last_sent = last_sent};
+    known = peer_of(from);
+    known.heard = now;
+    known.known_since = now;
+    known.last_sent = last_sent;
     return true;
 }
 
--- a/src/libcaraway/routing/peer_table.hpp
+++ b/src/libcaraway/routing/peer_table.hpp
@@ -58,6 +58,9 @@
     base::time_point last_sent{};
 };
 
+/// What a digest tells of its sender.
+peer peer_of(const digest& from);
+
 /// The other routers: from the platform's table and the first routers named in the settings, then
 /// from their own digests.
 class peer_table
