--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -195,7 +195,6 @@
         next_sweep_ = now + sweep_period;
         core_.pool.sweep();
         peers_.forget_old(now);
-        core_.shares.set_count_delay(peers_.period());
         set_shares_of_limits();
     }
     if (now >= next_reload_)
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -49,9 +49,7 @@
     {
         core_.refused.add(mark(), core_.now());
     }
-    // One that asks many times its share has no sooner a place than when the window moves on.
-    const double fill = rationed_ ? 1 : standing().fill;
-    const auto come_back = std::min(routing::retry_after(*route_, fill, core_.draw()),
+    const auto come_back = std::min(routing::retry_after(*route_, standing().fill, core_.draw()),
                                     std::max(milliseconds(0), time_left() / 3));
     answer(http::status::service_unavailable, reason, come_back);
 }
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -154,11 +154,6 @@
         no_place("crashes_upstreams");
         return;
     }
-    if (is_rationed())
-    {
-        refuse("rationed");
-        return;
-    }
     if (try_place())
     {
         return;
@@ -182,18 +177,6 @@
                                               .until = until});
 }
 
-/// Decided once, when it arrives: what has been counted as served is within the ration.
-bool request_session::is_rationed()
-{
-    if (counted_ || sent_ > 0)
-    {
-        return false;
-    }
-    core_.hear_peers();
-    rationed_ = core_.draw() >= routing::admit(*route_, standing(), {}).chance;
-    return rationed_;
-}
-
 bool request_session::try_place()
 {
     if (ended_ || attempt_)
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -45,8 +45,6 @@
     /// Counts it among those under way; or refuses it, as this router can't carry one more.
     bool enter();
     void look_for_place();
-    /// Its workspace asks so much that only a part of it may look for a place.
-    bool is_rationed();
 
     void send(routing::placement place);
     http::call_events events_of(const std::shared_ptr<attempt>& of);
@@ -109,7 +107,6 @@
     std::uint32_t unreachable_ = 0;
     bool may_have_run_ = false;
     /// Refused before, and sent once more by its caller.
-    bool rationed_ = false;
     bool returned_ = false;
     bool counted_ = false;
     bool admitted_ = false;
--- a/src/libcaraway/routing/admission.hpp
+++ b/src/libcaraway/routing/admission.hpp
@@ -49,8 +49,6 @@
     milliseconds hold{};
     /// No place at all now.
     bool closed = false;
-    /// The part of what its workspace asks that may look for a place.
-    double chance = 1;
 };
 
 admission_terms admit(const route& by, const standing& of, const admission_options& options = {});
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -48,11 +48,6 @@
     own_.clear();
 }
 
-void workspace_shares::set_count_delay(std::chrono::milliseconds delay)
-{
-    count_delay_ = delay;
-}
-
 void workspace_shares::count_asked(const base::workspace_id& id, double tokens,
                                    base::time_point now)
 {
@@ -126,11 +121,6 @@
     return std::isinf(least_flooding_) ? 1 : total_.at(id).served / least_flooding_;
 }
 
-double workspace_shares::least_of_others(const base::workspace_id& id) const
-{
-    return id == least_ ? next_flooding_ : least_flooding_;
-}
-
 standing workspace_shares::of(const base::workspace_id& id, bool returned, base::time_point now)
 {
     if (capacity_ <= 0)
@@ -140,13 +130,7 @@
     const double had = fill(id, now);
     const double wanted = total_[id].asked / even_share_;
     const double counted = returned ? std::max(had, wanted) : had;
-    return {.fill = counted,
-            .ahead = counted < 1 ? 0 : ahead_of_others(id),
-            .returned = returned,
-            .had = had,
-            .others = least_of_others(id) / even_share_,
-            .wanted = wanted,
-            .count_delay = count_delay_ / std::chrono::duration<double>(options_.window)};
+    return {.fill = counted, .ahead = counted < 1 ? 0 : ahead_of_others(id), .returned = returned};
 }
 
 std::vector<workspace_view> workspace_shares::most_asked(std::size_t count, base::time_point now)
@@ -247,26 +231,12 @@
     }
     const double seconds = std::chrono::duration<double>(options_.window).count();
     even_share_ = max_min_level(std::move(demands), capacity_ * seconds);
-    find_least_flooding();
-}
-
-void workspace_shares::find_least_flooding()
-{
-    constexpr double none = std::numeric_limits<double>::infinity();
-    least_flooding_ = none;
-    next_flooding_ = none;
+    least_flooding_ = std::numeric_limits<double>::infinity();
     for (const auto& [id, usage] : total_)
     {
-        if (!waits(usage) || usage.asked <= even_share_)
-        {
-            continue;
-        }
-        const double had = std::max(usage.served, 1.0);
-        next_flooding_ = std::min(next_flooding_, std::max(had, least_flooding_));
-        if (had < least_flooding_)
+        if (waits(usage) && usage.asked > even_share_)
         {
-            least_flooding_ = had;
-            least_ = id;
+            least_flooding_ = std::min(least_flooding_, std::max(usage.served, 1.0));
         }
     }
 }
--- a/src/libcaraway/routing/workspace_shares.hpp
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -26,15 +26,6 @@
     double ahead = 0;
     /// Came back after a refusal: late before it begins.
     bool returned = false;
-    /// Of its share, what it has had, also for a request that returned.
-    double had = 0;
-    /// Shares that the least of the others has had that ask for more than theirs and wait; infinite
-    /// if there is none.
-    double others = std::numeric_limits<double>::infinity();
-    /// Shares that it asks for in the window, and the part of the window that passes until all
-    /// routers have heard what one has served.
-    double wanted = 0;
-    double count_delay = 0;
 };
 
 using workspace_usages = std::map<base::workspace_id, workspace_usage>;
@@ -85,8 +76,6 @@
     /// Tokens a second of all engines together; 0: unknown, nobody is over its share.
     void set_capacity(double tokens_per_second);
     void set_window(std::chrono::milliseconds window);
-    /// How long it takes until all routers have heard what one has counted.
-    void set_count_delay(std::chrono::milliseconds delay);
 
     /// A request came: `tokens` in the unit of the capacity.
     void count_asked(const base::workspace_id& id, double tokens, base::time_point now);
@@ -129,10 +118,8 @@
     workspace_usage sum(sliding& of, base::time_point now) const;
     void slide(sliding& of, std::int64_t to) const;
     void allocate(base::time_point now);
-    void find_least_flooding();
     bool waits(const workspace_usage& usage) const;
     double ahead_of_others(const base::workspace_id& id) const;
-    double least_of_others(const base::workspace_id& id) const;
 
     struct peer_usages
     {
@@ -141,7 +128,6 @@
     };
 
     share_options options_;
-    std::chrono::milliseconds count_delay_{};
     double capacity_ = 0;
     std::map<base::workspace_id, sliding> own_;
     std::map<base::node_id, peer_usages> peers_;
@@ -150,11 +136,8 @@
     double even_share_ = 0;
     /// Some workspace gets less than it asks.
     bool backlogged_ = false;
-    /// The least that one has had that asks for more than an even share, and the least but one;
-    /// infinite if none waits.
+    /// The least that one has had that asks for more than an even share; infinite if none waits.
     double least_flooding_ = std::numeric_limits<double>::infinity();
-    double next_flooding_ = std::numeric_limits<double>::infinity();
-    base::workspace_id least_;
     base::time_point allocated_{};
 };
 
