HTTP, Router: a handler whose wait is over when its owner goes does nothing

Cause: a timer that has expired stands in the event loop's queue with success, and cancelling it does nothing then; it ran in a queue that was gone. A router's process never drops its parts while its loop runs, so callers saw nothing of it; tests that drop routers did. The same holds for a listener's and the digests' waits.

--- a/src/libcaraway/http/listener.cpp
+++ b/src/libcaraway/http/listener.cpp
@@ -122,8 +122,12 @@
 void listener::accept()
 {
     acceptor_.async_accept(
-        [this](const boost::system::error_code& error, tcp::socket socket)
+        [this, owner = owner_.watch()](const boost::system::error_code& error, tcp::socket socket)
         {
+            if (owner.expired())
+            {
+                return;
+            }
             // Closed meanwhile, and perhaps open again: then others wait for its connections.
             if (error == boost::asio::error::operation_aborted || !acceptor_.is_open())
             {
--- a/src/libcaraway/http/listener.hpp
+++ b/src/libcaraway/http/listener.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libcaraway/base/error.hpp"
+#include "libcaraway/http/owner_token.hpp"
 #include "libcaraway/http/server_connection.hpp"
 #include "libcaraway/routing/upstream_directory.hpp"
 
@@ -80,6 +81,7 @@
     /// In the order in which they were opened.
     std::vector<std::weak_ptr<server_connection>> connections_;
     std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0);
+    owner_token owner_;
 };
 
 }  // namespace caraway::http
--- a/src/libcaraway/http/timer_queue.cpp
+++ b/src/libcaraway/http/timer_queue.cpp
@@ -58,9 +58,9 @@
     armed_for_ = next;
     timer_.expires_after(std::max(next - now(), base::duration::zero()));
     timer_.async_wait(
-        [this](const boost::system::error_code& error)
+        [this, owner = owner_.watch()](const boost::system::error_code& error)
         {
-            if (!error)
+            if (!error && !owner.expired())
             {
                 run_due();
             }
--- a/src/libcaraway/http/timer_queue.hpp
+++ b/src/libcaraway/http/timer_queue.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libcaraway/base/clock.hpp"
+#include "libcaraway/http/owner_token.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -53,6 +54,7 @@
     std::uint64_t last_ = 0;
     base::time_point armed_for_ = base::time_point::max();
     bool running_ = false;
+    owner_token owner_;
 };
 
 }  // namespace caraway::http
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -196,9 +196,9 @@
 void peer_link::receive()
 {
     socket_.async_wait(udp::socket::wait_read,
-                       [this](const boost::system::error_code& error)
+                       [this, owner = owner_.watch()](const boost::system::error_code& error)
                        {
-                           if (error == boost::asio::error::operation_aborted)
+                           if (owner.expired() || error == boost::asio::error::operation_aborted)
                            {
                                return;
                            }
--- a/src/libcaraway/router/peer_link.hpp
+++ b/src/libcaraway/router/peer_link.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libcaraway/http/owner_token.hpp"
 #include "libcaraway/http/whole_call.hpp"
 #include "libcaraway/router/core.hpp"
 
@@ -82,6 +83,7 @@
     std::uint64_t heard_ = 0;
     std::array<char, 65536> buffer_{};
     http::whole_caller caller_;
+    http::owner_token owner_;
 };
 
 }  // namespace caraway::router
