HTTP, Router: one guard keeps handlers of an owner that is gone from running

Three waits (timers, accepting, digests) each tested by itself, inside its handler, whether its owner still lived, and the wait for signals did not. owner_token::guard wraps the handler instead; all four use it. No other behaviour changes.

--- a/src/libcaraway/http/listener.cpp
+++ b/src/libcaraway/http/listener.cpp
@@ -121,13 +121,9 @@
 
 void listener::accept()
 {
-    acceptor_.async_accept(
-        [this, owner = owner_.watch()](const boost::system::error_code& error, tcp::socket socket)
+    acceptor_.async_accept(owner_.guard(
+        [this](const boost::system::error_code& error, tcp::socket socket)
         {
-            if (owner.expired())
-            {
-                return;
-            }
             // Closed meanwhile, and perhaps open again: then others wait for its connections.
             if (error == boost::asio::error::operation_aborted || !acceptor_.is_open())
             {
@@ -144,7 +140,7 @@
             {
                 accept();
             }
-        });
+        }));
 }
 
 /// The event loop hands out one connection a turn, and a busy turn takes some milliseconds: at 500
--- a/src/libcaraway/http/owner_token.hpp
+++ b/src/libcaraway/http/owner_token.hpp
@@ -1,19 +1,29 @@
 #pragma once
 
 #include <memory>
+#include <utility>
 
 namespace caraway::http
 {
 
-/// Tells handlers whether the object that began what they wait for is still there: one whose wait
-/// is over may stand in the event loop's queue already when its owner goes, and then can't be
+/// Keeps handlers from running once the object that began what they wait for is gone: one whose
+/// wait is over may stand in the event loop's queue already when its owner goes, and then can't be
 /// cancelled.
 class owner_token
 {
 public:
-    std::weak_ptr<const void> watch() const
+    /// The handler, which does nothing once the owner is gone.
+    template <class Handler>
+    auto guard(Handler handler) const
     {
-        return owner_;
+        return [owner = std::weak_ptr(owner_),
+                handler = std::move(handler)]<class... Arguments>(Arguments&&... arguments) mutable
+        {
+            if (!owner.expired())
+            {
+                handler(std::forward<Arguments>(arguments)...);
+            }
+        };
     }
 
 private:
--- a/src/libcaraway/http/timer_queue.cpp
+++ b/src/libcaraway/http/timer_queue.cpp
@@ -57,14 +57,14 @@
     // anew for each request.
     armed_for_ = next;
     timer_.expires_after(std::max(next - now(), base::duration::zero()));
-    timer_.async_wait(
-        [this, owner = owner_.watch()](const boost::system::error_code& error)
+    timer_.async_wait(owner_.guard(
+        [this](const boost::system::error_code& error)
         {
-            if (!error && !owner.expired())
+            if (!error)
             {
                 run_due();
             }
-        });
+        }));
 }
 
 }  // namespace caraway::http
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -152,7 +152,7 @@
     signals_.add(SIGTERM);
     signals_.add(SIGINT);
     signals_.add(SIGHUP);
-    signals_.async_wait(
+    signals_.async_wait(owner_.guard(
         [this](const boost::system::error_code& error, int signal)
         {
             if (error)
@@ -169,7 +169,7 @@
             }
             signals_.clear();
             watch_signals();
-        });
+        }));
 }
 
 void daemon::tick()
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -47,9 +47,11 @@
     struct work_done
     {
         std::uint64_t requests = 0;
+        /// Of these, refused as the processor is at its limit.
         std::uint64_t refused = 0;
         std::uint64_t pieces = 0;
         std::uint64_t digests = 0;
+        /// Times that new connections were refused for the rest of a tick.
         std::uint64_t refusals = 0;
         std::uint64_t lines_dropped = 0;
     };
@@ -138,6 +140,7 @@
     std::uint64_t told_mark_ = 0;
     peer_link link_;
     boost::asio::signal_set signals_;
+    http::owner_token owner_;
 
     std::unique_ptr<table_sync> configurations_;
     std::unique_ptr<table_sync> upstreams_;
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -196,15 +196,16 @@
 void peer_link::receive()
 {
     socket_.async_wait(udp::socket::wait_read,
-                       [this, owner = owner_.watch()](const boost::system::error_code& error)
-                       {
-                           if (owner.expired() || error == boost::asio::error::operation_aborted)
+                       owner_.guard(
+                           [this](const boost::system::error_code& error)
                            {
-                               return;
-                           }
-                           hear_all();
-                           receive();
-                       });
+                               if (error == boost::asio::error::operation_aborted)
+                               {
+                                   return;
+                               }
+                               hear_all();
+                               receive();
+                           }));
 }
 
 void peer_link::on_digest(std::string_view bytes)
