Router, Routing: figures for lines are rounded at one place; ends of requests stand together

'hundredths' stood in two sources, 'rounded' was called with one unit only: telemetry/rounding.hpp has both. 'ahead' repeated the condition that 'of' has. Lines and decisions are the same.

--- a/src/libcaraway/router/daemon_report.cpp
+++ b/src/libcaraway/router/daemon_report.cpp
@@ -2,7 +2,7 @@
 // on.
 #include "libcaraway/router/daemon.hpp"
 
-#include <cmath>
+#include "libcaraway/telemetry/rounding.hpp"
 
 namespace caraway::router
 {
@@ -10,19 +10,12 @@
 namespace
 {
 
+using telemetry::hundredths;
+using telemetry::whole;
+
 /// Workspaces told of in a line: those that ask most here.
 constexpr std::size_t workspaces_told = 3;
 
-double rounded(double value, double unit)
-{
-    return std::isfinite(value) ? std::round(value / unit) * unit : -1;
-}
-
-double hundredths(double value)
-{
-    return std::round(value * 100) / 100;
-}
-
 /// -1: there is none.
 std::int64_t told_limit(std::size_t limit)
 {
@@ -32,10 +25,10 @@
 nlohmann::ordered_json to_json(const routing::workspace_view& of)
 {
     return {{"workspace", of.id.str()},
-            {"own_asked", rounded(of.own.asked, 1)},
-            {"own_served", rounded(of.own.served, 1)},
-            {"asked", rounded(of.all.asked, 1)},
-            {"served", rounded(of.all.served, 1)},
+            {"own_asked", whole(of.own.asked)},
+            {"own_served", whole(of.own.served)},
+            {"asked", whole(of.all.asked)},
+            {"served", whole(of.all.served)},
             {"fill", hundredths(of.stands.fill)},
             {"ahead", hundredths(of.stands.ahead)}};
 }
@@ -93,9 +86,9 @@
         return;
     }
     const auto basis = core_.shares.basis(now);
-    core_.log.line("shares", {{"even_share", rounded(basis.even_share, 1)},
+    core_.log.line("shares", {{"even_share", whole(basis.even_share)},
                               {"backlogged", basis.backlogged},
-                              {"least_flooding", rounded(basis.least_flooding, 1)},
+                              {"least_flooding", whole(basis.least_flooding)},
                               {"mean_age_ms", basis.mean_age.count()},
                               {"oldest_age_ms", basis.oldest_age.count()},
                               {"workspaces", told}});
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -20,12 +20,6 @@
 /// again; larger ones would fill a small VM's memory.
 constexpr std::size_t max_held_answer = 4U << 20U;
 
-/// Statuses by which a router tells its caller that the request has not run and never will.
-bool promises_no_run(unsigned code)
-{
-    return code == 408 || code == 421 || code == 429 || code == 503;
-}
-
 attempt_end end_of(http::call_failure why)
 {
     switch (why)
@@ -363,43 +357,6 @@
     }
 }
 
-void request_session::deliver(const attempt& of)
-{
-    if (begun_)
-    {
-        request_->finish();
-    }
-    else if (promises_no_run(of.head->result_int()) && !is_idempotent())
-    {
-        // The upstream may have run it and says what, from a router, promises that it has not.
-        answer(http::status::bad_gateway, "upstream_refused_after_start");
-        return;
-    }
-    else
-    {
-        request_->respond(head_for_caller(*of.head), of.body);
-    }
-    if (core_.crashes.has_suspects())
-    {
-        core_.crashes.completed(fingerprint(), core_.now());
-    }
-    end("answered", of.head->result_int(), "");
-}
-
-http::response_head request_session::head_for_caller(const http::response_head& from) const
-{
-    auto head = http::make_response(from.result());
-    head.result(from.result_int());
-    for (const auto& each : from)
-    {
-        if (core_.protocol.passes_to_caller(view(each.name_string())))
-        {
-            head.insert(each.name_string(), each.value());
-        }
-    }
-    return head;
-}
-
 bool request_session::is_idempotent() const
 {
     return route_->idempotent || route_->resumable;
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -1,10 +1,11 @@
-// How requests end: the router's own answers, connections broken off, and what is told of each end.
+// How requests end: upstreams' answers, the router's own, connections broken off, and what is told
+// of each end.
 #include "libcaraway/router/request_session.hpp"
 
 #include "libcaraway/http/server_connection.hpp"
+#include "libcaraway/telemetry/rounding.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace caraway::router
 {
@@ -12,7 +13,9 @@
 namespace
 {
 
+using http::view;
 using std::chrono::milliseconds;
+using telemetry::hundredths;
 
 std::string decimal_seconds(milliseconds span)
 {
@@ -20,14 +23,51 @@
     return std::to_string(span.count() / 1000) + "." + text;
 }
 
-/// Enough to see why a request was refused, and short.
-double hundredths(double value)
+/// Statuses by which a router tells its caller that the request has not run and never will.
+bool promises_no_run(unsigned code)
 {
-    return std::round(value * 100) / 100;
+    return code == 408 || code == 421 || code == 429 || code == 503;
 }
 
 }  // namespace
 
+void request_session::deliver(const attempt& of)
+{
+    if (begun_)
+    {
+        request_->finish();
+    }
+    else if (promises_no_run(of.head->result_int()) && !is_idempotent())
+    {
+        // The upstream may have run it and says what, from a router, promises that it has not.
+        answer(http::status::bad_gateway, "upstream_refused_after_start");
+        return;
+    }
+    else
+    {
+        request_->respond(head_for_caller(*of.head), of.body);
+    }
+    if (core_.crashes.has_suspects())
+    {
+        core_.crashes.completed(fingerprint(), core_.now());
+    }
+    end("answered", of.head->result_int(), "");
+}
+
+http::response_head request_session::head_for_caller(const http::response_head& from) const
+{
+    auto head = http::make_response(from.result());
+    head.result(from.result_int());
+    for (const auto& each : from)
+    {
+        if (core_.protocol.passes_to_caller(view(each.name_string())))
+        {
+            head.insert(each.name_string(), each.value());
+        }
+    }
+    return head;
+}
+
 void request_session::no_place(std::string_view reason)
 {
     if (begun_)
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -109,7 +109,7 @@
 
 double workspace_shares::ahead(const base::workspace_id& id, base::time_point now)
 {
-    return fill(id, now) < 1 ? 0 : ahead_of_others(id);
+    return of(id, false, now).ahead;
 }
 
 double workspace_shares::ahead_of_others(const base::workspace_id& id) const
