HTTP: connections end with their listener

What was seen: with the handlers' guard in place 1 of 192 runs under the address sanitizer of the test that drops routers still ended with use after free: server_connection::parse_buffer asked timers that were gone with their router. Cause: a connection keeps itself alive by its reads, and went on reading and handing out requests after its listener, and all that it refers to, had gone. A router's process never drops a listener while its loop runs, so callers saw nothing of it.

Now a listener closes its connections when it goes. Ruled out: another wait that isn't guarded (the trace is the connection's own read). The new test failed before, without the sanitizer too: the request was handed out. 0 of 576 runs of the dropping test end so with it.

--- a/src/libcaraway/http/listener.cpp
+++ b/src/libcaraway/http/listener.cpp
@@ -27,6 +27,17 @@
 {
 }
 
+listener::~listener()
+{
+    for (const auto& each : connections_)
+    {
+        if (const auto connection = each.lock())
+        {
+            connection->close();
+        }
+    }
+}
+
 base::result<void> listener::open(const routing::endpoint& address)
 {
     boost::system::error_code error;
--- a/src/libcaraway/http/listener.hpp
+++ b/src/libcaraway/http/listener.hpp
@@ -21,6 +21,9 @@
              server_connection::limits_source limits, server_connection::handler on_request,
              std::size_t max_connections);
 
+    /// Its connections end with it.
+    ~listener();
+
     /// Errors: the address is taken or isn't this machine's.
     base::result<void> open(const routing::endpoint& address);
     std::uint16_t port() const;
--- a/src/libcaraway/http/server_connection.hpp
+++ b/src/libcaraway/http/server_connection.hpp
@@ -102,6 +102,8 @@
     void start();
     /// Closes it unless a request is being read or answered; whether it did.
     bool close_if_idle();
+    /// At once, whatever is under way; nothing is handed out or sent any more.
+    void close();
     /// Until the last byte of an answer is with the machine's network: a process that ends before
     /// cuts an answer that was whole.
     bool is_answering() const
@@ -130,7 +132,6 @@
     void flush();
     void answer_ended(bool keep);
     void end_writing();
-    void close();
 
     socket_type socket_;
     timer_queue& timers_;
--- a/tests/http/test_listener.cpp
+++ b/tests/http/test_listener.cpp
@@ -113,6 +113,29 @@
     BOOST_CHECK_THROW(caller(), boost::system::system_error);
 }
 
+// A connection must not hand out what it reads once its listener is gone.
+BOOST_AUTO_TEST_CASE(connections_end_with_their_listener)
+{
+    const auto limits_of = [this]
+    {
+        return limits;
+    };
+    const auto take = [this](const auto& request)
+    {
+        requests.push_back(request);
+    };
+    auto other = std::make_unique<http::listener>(loop, timers, limits_of, take, 100);
+    BOOST_REQUIRE(other->open({.ip = "127.0.0.1", .port = 0}).has_value());
+    const auto end = connect_to(loop, other->port());
+    BOOST_REQUIRE(becomes_true([&] { return other->connections() == 1; }));
+    end->say(get_request);
+
+    other.reset();
+
+    BOOST_TEST(becomes_true([&] { return end->ended; }));
+    BOOST_TEST(requests.empty());
+}
+
 BOOST_AUTO_TEST_CASE(idle_connections_are_closed_and_busy_ones_are_not)
 {
     const auto idle = caller();
