--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -21,14 +21,28 @@
     return options;
 }
 
+std::map<base::service_id, routing::warmup_terms>
+warmup_terms_of(const routing::configuration& from)
+{
+    std::map<base::service_id, routing::warmup_terms> terms;
+    for (const auto& each : from.services)
+    {
+        if (each.warmup_rate > 0)
+        {
+            terms[each.id] = {.lasts = each.warmup, .rate = each.warmup_rate};
+        }
+    }
+    return terms;
+}
+
 }  // namespace
 
 core::core(boost::asio::io_context& event_loop, const base::clock& process_clock,
            settings process_options, caller_protocol callers, telemetry::line_log& lines)
     : loop(event_loop), clock(process_clock), options(std::move(process_options)),
       protocol(std::move(callers)), log(lines), timers(loop, clock), pool(loop, timers),
-      retries(options.retries), placer({.zone = options.zone}), health_options(health_settings()),
-      health(health_options), random_(std::random_device{}())
+      cold(options.name), retries(options.retries), placer({.zone = options.zone}),
+      health_options(health_settings()), health(health_options), random_(std::random_device{}())
 {
     shares.set_window(options.share_window);
 }
@@ -44,11 +58,68 @@
                                {"from", from},
                                {"routes", accepted.routes.size()},
                                {"workspaces", accepted.workspaces.size()}});
-    shares.set_capacity(accepted.tokens_per_second);
+    cold.set_terms(warmup_terms_of(accepted));
     table_ = std::make_shared<const routing::route_table>(std::move(accepted));
+    set_share_capacity();
+    return true;
+}
+
+bool core::note_zone(const routing::zone_statement& what, std::string_view from)
+{
+    const bool known = options.zones.empty() || options.zones.contains(what.zone);
+    if (!known || !directory.note_zone(what))
+    {
+        return false;
+    }
+    log.line(what.drained ? "zone_drained" : "zone_taken_back",
+             {{"zone", what.zone.str()}, {"from", from}, {"revision", what.revision}});
+    set_share_capacity();
+    if (!what.drained)
+    {
+        // They may have become cold meanwhile, and their entries say so only at their next writing.
+        for (const auto& [id, each] : directory.all())
+        {
+            if (each.zone == what.zone)
+            {
+                note_cold(each, cold.terms_of(each.service).lasts, "zone_taken_back");
+            }
+        }
+        pump();
+    }
     return true;
 }
 
+void core::note_cold(const routing::upstream& which, std::chrono::milliseconds left,
+                     std::string_view because)
+{
+    if (cold.note_cold(which, left, now()))
+    {
+        log.line("upstream_cold",
+                 {{"upstream", which.id.str()}, {"left_ms", left.count()}, {"because", because}});
+    }
+}
+
+void core::note_warm()
+{
+    const auto warm = cold.expire(now());
+    for (const auto& id : warm)
+    {
+        log.line("upstream_warm", {{"upstream", id.str()}});
+    }
+    if (!warm.empty())
+    {
+        pump();
+    }
+}
+
+void core::set_share_capacity()
+{
+    if (table_)
+    {
+        shares.set_capacity(table_->accepted().tokens_per_second * directory.part_in_use());
+    }
+}
+
 base::config_version core::version() const
 {
     return table_ ? table_->accepted().version : base::config_version{};
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -13,6 +13,7 @@
 #include "libcaraway/routing/refused_requests.hpp"
 #include "libcaraway/routing/retry_ledger.hpp"
 #include "libcaraway/routing/route_table.hpp"
+#include "libcaraway/routing/slow_start.hpp"
 #include "libcaraway/routing/waiting_line.hpp"
 #include "libcaraway/routing/workspace_shares.hpp"
 #include "libcaraway/scheduling/upstream_health.hpp"
@@ -52,6 +53,17 @@
     }
     base::config_version version() const;
 
+    /// An operator said that an availability zone gets no new requests, or that it does again.
+    /// Whether that is news.
+    bool note_zone(const routing::zone_statement& what, std::string_view from);
+    /// It is cold for so long, as somebody says; 0: it isn't.
+    void note_cold(const routing::upstream& which, std::chrono::milliseconds left,
+                   std::string_view because);
+    /// Those that were cold and aren't any more.
+    void note_warm();
+    /// Shares are of what may be used.
+    void set_share_capacity();
+
     void handle(const std::shared_ptr<http::exchange>& request);
     /// Gives places to those that wait; called when something may have become free.
     void pump();
@@ -92,6 +104,7 @@
     http::upstream_pool pool;
     metrics::registry metrics;
     routing::upstream_directory directory;
+    routing::slow_start cold;
     routing::load_board board;
     routing::workspace_shares shares;
     routing::waiting_line line;
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -81,6 +81,7 @@
 
 base::result<void> daemon::start()
 {
+    started_ = core_.now();
     open_listeners();
     auto& at = core_.options;
     BOOST_OUTCOME_TRY(open_at(*callers_, at.callers));
@@ -184,6 +185,7 @@
         next_rate_ = now + rate_period;
     }
     drop_missing(now);
+    follow_warmups(now);
     core_.expire_waiting();
     core_.pump();
     choose_source(now);
@@ -196,6 +198,7 @@
         core_.pool.sweep();
         peers_.forget_old(now);
         set_shares_of_limits();
+        core_.set_share_capacity();
     }
     if (now >= next_reload_)
     {
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -89,6 +89,10 @@
     void progress_stop(base::time_point now);
     void set_shares_of_limits();
 
+    /// Rows of the table with the configuration; all of them if `whole_at`.
+    void take_operator_rows(const std::vector<row>& rows, std::optional<std::uint64_t> whole_at);
+    /// The drained zone that the row tells of, if it does.
+    std::optional<base::zone_id> drained_zone_of(const row& from);
     void take_configuration(const std::string& text, std::string_view from);
     /// `from` names the store or the peer that told them. A whole listing is current up to
     /// `whole_at`.
@@ -99,6 +103,9 @@
     void log_news(const std::vector<const row*>& news, std::string_view from);
     void log_removed(const base::upstream_id& id, std::string_view from, std::uint64_t revision,
                      std::string_view outcome);
+    /// How long it stays cold, by its entry or as it has just appeared.
+    void note_warmup(const routing::upstream& entry, bool appeared);
+    void follow_warmups(base::time_point now);
     /// Drops upstreams whose removal waited until nothing could bring them back.
     void drop_missing(base::time_point now);
     /// An entry that doesn't tell of an upstream that may be used.
@@ -133,6 +140,9 @@
     /// The last complaint about them, which isn't repeated at each reading.
     std::string settings_fault_;
     std::uint64_t life_;
+    base::time_point started_{};
+    /// All upstreams were told of once; one that appears later has just started.
+    bool upstreams_listed_ = false;
     std::uint64_t digests_ = 0;
     routing::peer_table peers_;
     routing::table_relay relay_;
--- a/src/libcaraway/router/daemon_answers.cpp
+++ b/src/libcaraway/router/daemon_answers.cpp
@@ -114,6 +114,10 @@
     set("caraway_configuration_version", "Version in force.",
         static_cast<double>(static_cast<std::uint64_t>(core_.version())));
     set("caraway_upstreams", "Upstreams known.", static_cast<double>(core_.directory.size()));
+    set("caraway_upstreams_cold", "Upstreams believed to be cold.",
+        static_cast<double>(core_.cold.size()));
+    set("caraway_zones_drained", "Availability zones whose upstreams get nothing new.",
+        static_cast<double>(core_.directory.zones().drained()));
     set("caraway_peers", "Other routers known.", static_cast<double>(peers_.size()));
     set("caraway_streams", "Requests for engines under way.", static_cast<double>(core_.streams));
     set("caraway_overloaded", "1 while the processor's limit is reached.",
@@ -145,6 +149,8 @@
                              {"service", each.service.str()},
                              {"zone", each.zone.str()},
                              {"draining", each.draining},
+                             {"zone_drained", core_.directory.zones().contains(each.zone)},
+                             {"cold", core_.cold.is_cold(id, now)},
                              {"ejected", core_.health.ejected(id, now)},
                              {"running", load.running},
                              {"unread_tokens", load.unread_tokens}});
--- a/src/libcaraway/router/daemon_peers.cpp
+++ b/src/libcaraway/router/daemon_peers.cpp
@@ -157,6 +157,10 @@
     {
         take_configuration(copy.configuration, "peer");
     }
+    for (const auto& each : copy.zones)
+    {
+        core_.note_zone(each, copy.from.str());
+    }
     for (const auto& each : copy.routers)
     {
         peers_.introduce(each, core_.now());
@@ -215,6 +219,7 @@
             copy.upstreams.push_back(each);
         }
     }
+    copy.zones = core_.directory.zones().statements();
     for (const auto& [id, each] : peers_.all())
     {
         copy.routers.push_back(each);
@@ -261,6 +266,7 @@
         out.readings = core_.pace.own(now);
     }
     out.leaving = core_.directory.leaving(now);
+    out.zones = core_.directory.zones().statements();
     out.tables = tables();
     return out;
 }
--- a/src/libcaraway/router/daemon_tables.cpp
+++ b/src/libcaraway/router/daemon_tables.cpp
@@ -42,6 +42,8 @@
 constexpr milliseconds resting_hold{25000};
 constexpr milliseconds resting_pause{3000};
 constexpr milliseconds longest_pause = routing::follower_options{}.longest_pause;
+/// How long a router that starts expects to learn of others.
+constexpr milliseconds first_peers{3000};
 /// Of what an upstream accepts, the part that all routers together keep open idle.
 constexpr double idle_share = 0.6;
 
@@ -49,22 +51,13 @@
 
 void daemon::open_tables(const platform_port& platform)
 {
-    const auto take_rows = [this](const std::vector<row>& rows)
-    {
-        for (const auto& each : rows)
-        {
-            if (each.key == platform_.configuration_key && !each.removed)
-            {
-                take_configuration(each.value, "store");
-            }
-        }
-    };
     configurations_ = std::make_unique<table_sync>(
         "configuration", core_.timers, core_.log, platform.configurations,
         routing::follower_options{},
-        table_sync::events{.all = [take_rows](const rows_answer& answer)
-                           { take_rows(answer.rows); },
-                           .changed = take_rows,
+        table_sync::events{.all = [this](const rows_answer& answer)
+                           { take_operator_rows(answer.rows, answer.revision); },
+                           .changed = [this](const auto& rows)
+                           { take_operator_rows(rows, std::nullopt); },
                            .lost = [] {},
                            .back =
                                [] {
@@ -192,6 +185,58 @@
     core_.pool.set_max_idle(std::max<std::size_t>(idle, 2));
 }
 
+void daemon::take_operator_rows(const std::vector<row>& rows, std::optional<std::uint64_t> whole_at)
+{
+    std::set<base::zone_id> listed;
+    bool changed = false;
+    for (const auto& each : rows)
+    {
+        if (each.key == platform_.configuration_key && !each.removed)
+        {
+            take_configuration(each.value, "store");
+        }
+        if (const auto zone = drained_zone_of(each))
+        {
+            listed.insert(*zone);
+            changed |= core_.note_zone(
+                {.zone = *zone, .drained = !each.removed, .revision = each.revision}, "store");
+        }
+    }
+    if (whole_at)
+    {
+        for (const auto& each : core_.directory.zones().missing(listed, *whole_at))
+        {
+            changed |= core_.note_zone(each, "store");
+        }
+    }
+    if (changed)
+    {
+        link_.tell_zone();
+    }
+}
+
+std::optional<base::zone_id> daemon::drained_zone_of(const row& from)
+{
+    const auto zone = platform_.decode_drained_zone(from);
+    if (!zone)
+    {
+        return std::nullopt;
+    }
+    if (!*zone)
+    {
+        core_.log.line("drained_zone_unreadable",
+                       {{"row", from.key}, {"because", zone->error().message}});
+        return std::nullopt;
+    }
+    const auto& known = core_.options.zones;
+    if (!known.empty() && !known.contains(zone->value()))
+    {
+        core_.log.line("drained_zone_unknown", {{"zone", zone->value().str()}});
+        return std::nullopt;
+    }
+    return zone->value();
+}
+
 void daemon::take_configuration(const std::string& text, std::string_view from)
 {
     auto decoded = platform_.decode_configuration(text);
@@ -250,6 +295,7 @@
         {
             log_removed(id, from, *whole_at, "not_in_listing");
         }
+        upstreams_listed_ = true;
     }
     core_.pump();
 }
@@ -328,13 +374,39 @@
     }
     unreadable_.erase(each.key);
     upstream_rows_[each.key] = each;
-    if (change == routing::upstream_directory::change::restarted)
+    const bool restarted = change == routing::upstream_directory::change::restarted;
+    if (restarted)
     {
         core_.note_restarted(entry.id, entry.born);
     }
+    note_warmup(entry, known == nullptr || restarted);
     return news;
 }
 
+void daemon::note_warmup(const routing::upstream& entry, bool appeared)
+{
+    if (entry.warmup_left)
+    {
+        core_.note_cold(entry, *entry.warmup_left, "its_entry");
+    }
+    else if (appeared && upstreams_listed_)
+    {
+        core_.note_cold(entry, core_.cold.terms_of(entry.service).lasts, "appeared");
+    }
+}
+
+void daemon::follow_warmups(base::time_point now)
+{
+    if (core_.cold.any() || now >= next_sweep_)
+    {
+        auto fleet = peers_.fleet(now);
+        const bool starts = fleet.peers.empty() && !core_.options.seeds.empty();
+        fleet.cut_off |= starts && now - started_ < first_peers;
+        core_.cold.set_fleet(std::move(fleet));
+    }
+    core_.note_warm();
+}
+
 void daemon::drop_unreadable(const row& from, const base::error& why)
 {
     // What it said before no longer stands: whoever wrote over it, the upstream didn't say so.
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -1,5 +1,7 @@
 #include "libcaraway/router/peer_link.hpp"
 
+#include "libcaraway/routing/json_parts.hpp"
+
 #include <boost/asio/ip/address.hpp>
 
 namespace caraway::router
@@ -9,16 +11,8 @@
 {
 
 using nlohmann::json;
-
-json endpoint_json(const routing::endpoint& of)
-{
-    return json::array({of.ip, of.port});
-}
-
-routing::endpoint endpoint_of(const json& from)
-{
-    return {.ip = from.at(0).get<std::string>(), .port = from.at(1).get<std::uint16_t>()};
-}
+using routing::endpoint_json;
+using routing::endpoint_of;
 
 /// In a fleet each router hears several digests in this time; longer without one means that the
 /// loop is late, or that there is nobody, and then asking costs a system call at that pace.
@@ -52,6 +46,7 @@
                 {"upstreams", upstreams},
                 {"revision", copy.state.revision},
                 {"mark", copy.state.mark},
+                {"zones", routing::zones_json(copy.zones)},
                 {"routers", routers}}
         .dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -66,7 +61,8 @@
             .configuration = from.at("configuration").get<std::string>(),
             .version = base::config_version{from.at("configuration_version").get<std::uint64_t>()},
             .state = {.revision = from.at("revision").get<std::uint64_t>(),
-                      .mark = from.at("mark").get<std::uint64_t>()}};
+                      .mark = from.at("mark").get<std::uint64_t>()},
+            .zones = routing::zones_of(from.at("zones"))};
         for (const auto& each : from.at("upstreams"))
         {
             copy.upstreams.push_back({.key = each.at(0).get<std::string>(),
@@ -231,6 +227,10 @@
     {
         core_.directory.leaves(each, now);
     }
+    for (const auto& each : from.zones)
+    {
+        core_.note_zone(each, from.from.str());
+    }
     // At once: the tick that looks for what is missing comes up to its whole period later.
     if (from.zone == core_.options.zone && from.version > core_.version())
     {
--- a/src/libcaraway/router/peer_link.hpp
+++ b/src/libcaraway/router/peer_link.hpp
@@ -21,6 +21,8 @@
     std::vector<row> upstreams;
     /// What `upstreams` is a copy of.
     routing::table_state state;
+    /// What was said last of availability zones.
+    std::vector<routing::zone_statement> zones;
     /// The sender and the routers that it knows: names and addresses only.
     std::vector<routing::peer> routers;
 };
--- a/src/libcaraway/router/ports.hpp
+++ b/src/libcaraway/router/ports.hpp
@@ -106,6 +106,9 @@
     std::string configuration_key;
     std::function<base::result<routing::configuration>(const std::string&)> decode_configuration;
     std::function<base::result<routing::upstream>(const row&)> decode_upstream;
+    /// The availability zone that a row beside the configuration drains; nothing: it is about
+    /// something else.
+    std::function<std::optional<base::result<base::zone_id>>(const row&)> decode_drained_zone;
 };
 
 }  // namespace caraway::router
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -71,6 +71,7 @@
         }
         core_.placer.note_sent(id, facts_.parts, now);
     }
+    core_.cold.note_sent(place.where, now);
     tried_.push_back(id);
     ++sent_;
     attempt_ = std::make_shared<attempt>();
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -158,6 +158,11 @@
     {
         return;
     }
+    if (core_.directory.all_drained(service_->id))
+    {
+        no_place("zones_drained");
+        return;
+    }
     const auto now = core_.now();
     const auto terms = routing::admit(*route_, standing(), {});
     const auto until =
@@ -165,7 +170,7 @@
     const bool full = core_.line.size() >= routing::admission_options{}.longest_line;
     if (full || until <= now)
     {
-        no_place(core_.directory.usable(service_->id).empty() ? "no_upstream" : "no_place");
+        no_place(reason_of_no_place("no_place"));
         return;
     }
     const auto priority = workspace_ && workspace_->priority ? *workspace_->priority : 0;
@@ -200,21 +205,46 @@
     {
         return std::nullopt;
     }
-    return core_.placer.choose({.of = service_,
-                                .prompt_tokens = facts_.prompt_tokens,
-                                .output_tokens = expected_output(),
-                                .parts = &facts_.parts,
-                                .tried = tried_,
-                                .longest_wait = terms.longest_wait,
-                                .slot_share = terms.slot_share,
-                                .most_repeated = terms.most_repeated},
-                               core_.directory, core_.board, core_.health, core_.pace, core_.now());
+    const auto now = core_.now();
+    const auto passed_over = core_.cold.passed_over();
+    routing::placement_request request{.of = service_,
+                                       .prompt_tokens = facts_.prompt_tokens,
+                                       .output_tokens = expected_output(),
+                                       .parts = &facts_.parts,
+                                       .tried = tried_,
+                                       .longest_wait = terms.longest_wait,
+                                       .slot_share = terms.slot_share,
+                                       .most_repeated = terms.most_repeated};
+    if (core_.cold.any())
+    {
+        request.may_send = [this, now](const routing::upstream& which)
+        {
+            return core_.cold.may_send(which, now);
+        };
+    }
+    auto found =
+        core_.placer.choose(request, core_.directory, core_.board, core_.health, core_.pace, now);
+    cold_passed_over_ = !found && core_.cold.passed_over() != passed_over;
+    return found;
 }
 
 void request_session::on_waited_too_long()
 {
     ticket_.reset();
-    no_place("waited");
+    no_place(reason_of_no_place("waited"));
+}
+
+std::string_view request_session::reason_of_no_place(std::string_view usual) const
+{
+    if (core_.directory.all_drained(service_->id))
+    {
+        return "zones_drained";
+    }
+    if (core_.directory.usable(service_->id).empty())
+    {
+        return "no_upstream";
+    }
+    return cold_passed_over_ ? "upstreams_cold" : usual;
 }
 
 void request_session::on_deadline()
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -66,6 +66,8 @@
     std::optional<routing::placement> find_place();
     void deliver(const attempt& of);
     void refuse(std::string_view reason);
+    /// Why no upstream was found; `usual` if nothing special kept it from one.
+    std::string_view reason_of_no_place(std::string_view usual) const;
     /// Ends it for want of an upstream, by what is known of earlier attempts.
     void no_place(std::string_view reason);
     /// A final answer of the router's own.
@@ -106,6 +108,8 @@
     std::uint32_t sent_ = 0;
     std::uint32_t unreachable_ = 0;
     bool may_have_run_ = false;
+    /// No place was found, and an upstream with room was passed over as it is cold.
+    bool cold_passed_over_ = false;
     /// Refused before, and sent once more by its caller.
     bool returned_ = false;
     bool counted_ = false;
--- a/src/libcaraway/router/settings.hpp
+++ b/src/libcaraway/router/settings.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,8 @@
 {
     base::node_id name;
     base::zone_id zone;
+    /// All availability zones of the deployment; empty: not told.
+    std::set<base::zone_id> zones;
     routing::endpoint callers;
     routing::endpoint readiness;
     routing::endpoint control;
--- a/src/libcaraway/routing/configuration.hpp
+++ b/src/libcaraway/routing/configuration.hpp
@@ -65,6 +65,10 @@
     base::service_id id;
     /// Connections that one of its upstreams takes from all routers together.
     std::uint32_t max_connections = 100;
+    /// How long one of its upstreams is cold after its start, and what it bears meanwhile, in
+    /// requests a second from all routers together; 0: it is never cold.
+    milliseconds warmup{0};
+    double warmup_rate = 0;
     /// Present for services of model engines.
     std::optional<engine_capacity> engine;
 };
--- a/src/libcaraway/routing/digest.cpp
+++ b/src/libcaraway/routing/digest.cpp
@@ -1,6 +1,6 @@
 #include "libcaraway/routing/digest.hpp"
 
-#include <nlohmann/json.hpp>
+#include "libcaraway/routing/json_parts.hpp"
 
 #include <cmath>
 
@@ -13,18 +13,8 @@
 using nlohmann::json;
 
 /// First field of each digest; another format gets another number.
-constexpr std::uint64_t format = 7;
-constexpr std::size_t fields = 20;
-
-json endpoint_json(const endpoint& of)
-{
-    return json::array({of.ip, of.port});
-}
-
-endpoint endpoint_of(const json& from)
-{
-    return {.ip = from.at(0).get<std::string>(), .port = from.at(1).get<std::uint16_t>()};
-}
+constexpr std::uint64_t format = 8;
+constexpr std::size_t fields = 21;
 
 json loads_json(const upstream_loads& loads)
 {
@@ -202,6 +192,7 @@
             .refused = marks_of(from.at(16)),
             .readings = readings_of(from.at(17)),
             .leaving = leaving_of(from.at(19)),
+            .zones = zones_of(from.at(20)),
             .tables = tables_of(from.at(18))};
 }
 
@@ -228,7 +219,8 @@
                                   marks_json(what.refused),
                                   readings_json(what.readings),
                                   tables_json(what.tables),
-                                  leaving_json(what.leaving)});
+                                  leaving_json(what.leaving),
+                                  zones_json(what.zones)});
     std::string out;
     json::to_cbor(all, out);
     return out;
--- a/src/libcaraway/routing/digest.hpp
+++ b/src/libcaraway/routing/digest.hpp
@@ -50,6 +50,8 @@
     /// Upstreams that take no new requests, as the sender knows: told with each digest, as a busy
     /// router takes a second longer to ask for a whole copy.
     std::vector<leaving_upstream> leaving;
+    /// What was said last of availability zones.
+    std::vector<zone_statement> zones;
     /// The sender's copy of the platform's tables.
     table_state tables;
 };
--- a/src/libcaraway/routing/peer_table.cpp
+++ b/src/libcaraway/routing/peer_table.cpp
@@ -247,6 +247,23 @@
                        });
 }
 
+fleet_view peer_table::fleet(base::time_point now) const
+{
+    fleet_view out;
+    std::size_t heard = 0;
+    for (const auto& [id, each] : peers_)
+    {
+        const bool hears = is_heard(each, now);
+        heard += hears ? 1 : 0;
+        if (hears || (!each.heard && each.known_since + options_.expected > now))
+        {
+            out.peers.push_back(id);
+        }
+    }
+    out.cut_off = heard * 2 < peers_.size();
+    return out;
+}
+
 bool peer_table::seems_cut_off(base::time_point now) const
 {
     std::size_t recent = 0;
--- a/src/libcaraway/routing/peer_table.hpp
+++ b/src/libcaraway/routing/peer_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libcaraway/routing/digest.hpp"
+#include "libcaraway/routing/slow_start.hpp"
 
 #include <functional>
 #include <map>
@@ -22,6 +23,8 @@
     std::chrono::milliseconds probe_period{1000};
     /// Peers heard within this count when a router asks itself whether it is cut off.
     std::chrono::milliseconds recent{10000};
+    /// How long a router that it was told of counts as living before it is heard.
+    std::chrono::milliseconds expected{5000};
     /// From then on it is forgotten; the platform's table brings it back if it lives.
     std::chrono::milliseconds forget{60000};
     /// Entry points given to a caller of a zone before those of other zones are added.
@@ -88,6 +91,9 @@
     /// all it knows: callers pass over dead ones, and would else all come here.
     std::vector<endpoint> entries(const base::zone_id& zone, const peer& self, base::time_point now,
                                   const std::function<double()>& draw) const;
+    /// The other routers that live, or may: those that are heard, and those that it has just been
+    /// told of.
+    fleet_view fleet(base::time_point now) const;
     /// Time between two digests to one peer, as the fleet is now.
     std::chrono::milliseconds period() const;
 
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -169,6 +169,10 @@
         {
             continue;
         }
+        if (request.may_send && !request.may_send(where))
+        {
+            continue;
+        }
         each.ms_per_token = pace.ms_per_token(where.id);
         each.wait = wait_of(request, each.total, each.ms_per_token);
         if (each.total.running > 0 && each.wait > request.longest_wait)
--- a/src/libcaraway/routing/placer.hpp
+++ b/src/libcaraway/routing/placer.hpp
@@ -6,6 +6,7 @@
 #include "libcaraway/routing/upstream_directory.hpp"
 #include "libcaraway/scheduling/upstream_health.hpp"
 
+#include <functional>
 #include <limits>
 #include <optional>
 #include <unordered_map>
@@ -52,6 +53,8 @@
     std::chrono::milliseconds longest_wait{300};
     /// Part of an engine's slots that it may use: below 1 for work that should give way.
     double slot_share = 1;
+    /// Whether an upstream that has room takes one more now; absent: all do.
+    std::function<bool(const upstream&)> may_send;
     /// Tokens of shared parts that may be read anew for it.
     std::uint32_t most_repeated = std::numeric_limits<std::uint32_t>::max();
 };
--- a/src/libcaraway/routing/upstream_directory.cpp
+++ b/src/libcaraway/routing/upstream_directory.cpp
@@ -2,6 +2,7 @@
 
 #include "libcaraway/scheduling/stable_hash.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace caraway::routing
@@ -199,6 +200,41 @@
     return true;
 }
 
+bool upstream_directory::note_zone(const zone_statement& what)
+{
+    const bool changed = zones_.note(what);
+    if (changed)
+    {
+        usable_.clear();
+    }
+    return changed;
+}
+
+bool upstream_directory::all_drained(const base::service_id& service) const
+{
+    if (zones_.drained() == 0 || !usable(service).empty())
+    {
+        return false;
+    }
+    return std::any_of(entries_.begin(), entries_.end(),
+                       [&](const auto& each) {
+                           return each.second.service == service &&
+                                  zones_.contains(each.second.zone);
+                       });
+}
+
+double upstream_directory::part_in_use() const
+{
+    std::size_t all = 0;
+    std::size_t used = 0;
+    for (const auto& [id, each] : entries_)
+    {
+        all += each.draining ? 0 : 1;
+        used += each.draining || zones_.contains(each.zone) ? 0 : 1;
+    }
+    return all == 0 ? 1 : static_cast<double>(used) / static_cast<double>(all);
+}
+
 const std::vector<const upstream*>&
 upstream_directory::usable(const base::service_id& service) const
 {
@@ -222,7 +258,7 @@
 {
     const auto told = told_.find(of.id);
     const bool leaves = told != told_.end() && told->second.first == of.born;
-    return !of.draining && !leaves;
+    return !of.draining && !leaves && !zones_.contains(of.zone);
 }
 
 const upstream* upstream_directory::find(const base::upstream_id& id) const
@@ -243,6 +279,8 @@
         all = combine(all, stable_hash(entry.address.ip));
         all = combine(all, entry.address.port);
         all = combine(all, entry.slots * 2U + (entry.draining ? 1U : 0U));
+        // Not how long: it counts down, and each router does that by itself.
+        all = combine(all, entry.warmup_left.value_or(std::chrono::milliseconds(0)).count() > 0);
         all = combine(all, static_cast<std::uint64_t>(entry.born.count()));
     }
     return all;
--- a/src/libcaraway/routing/upstream_directory.hpp
+++ b/src/libcaraway/routing/upstream_directory.hpp
@@ -2,6 +2,7 @@
 
 #include "libcaraway/base/clock.hpp"
 #include "libcaraway/base/ids.hpp"
+#include "libcaraway/routing/drained_zones.hpp"
 
 #include <cstdint>
 #include <map>
@@ -35,6 +36,9 @@
     /// The start of its process, by its own clock, since the epoch; 0: not told. A later one under
     /// the same id is another process, which holds and knows nothing of the one before.
     std::chrono::milliseconds born{};
+    /// How long it stays cold after its start, by its own word when it was written; nothing: it
+    /// didn't say.
+    std::optional<std::chrono::milliseconds> warmup_left;
     /// Of the id, the same at all routers; the directory fills it in.
     std::uint64_t hash = 0;
 };
@@ -132,6 +136,17 @@
     /// statement.
     bool forget(const base::upstream_id& id, const said& when);
 
+    /// Something was said of an availability zone; whether it changes what holds.
+    bool note_zone(const zone_statement& what);
+    const drained_zones& zones() const
+    {
+        return zones_;
+    }
+    /// The service has upstreams, and all of them are in drained zones.
+    bool all_drained(const base::service_id& service) const;
+    /// Which part of the upstreams that don't leave is outside of drained zones.
+    double part_in_use() const;
+
     /// Upstreams of the service that take new requests, until the next change.
     const std::vector<const upstream*>& usable(const base::service_id& service) const;
     const upstream* find(const base::upstream_id& id) const;
@@ -173,6 +188,7 @@
     /// Which life leaves, and since when that is known: here, and from peers.
     life_times leaving_;
     life_times told_;
+    drained_zones zones_;
     /// By service, as asked for since the last change: each request asks.
     mutable std::map<base::service_id, std::vector<const upstream*>> usable_;
     /// Listed no more, but not yet believed.
--- a/tests/users_platform/router_fixture.cpp
+++ b/tests/users_platform/router_fixture.cpp
@@ -24,12 +24,14 @@
             {"stream_resume", of.resumable}};
 }
 
-json service_json(const std::string& name)
+json service_json(const std::string& name, double warmup_rate)
 {
     json service{{"name", name}, {"health_check_path", "/healthz"}, {"max_connections", 100}};
     if (name == "engines")
     {
         service["engine"] = {{"slots", 4}, {"kv_capacity_tokens", 100000}, {"stride", 6}};
+        service["warmup_s"] = 1.0;
+        service["warmup_per_s"] = warmup_rate;
     }
     return service;
 }
@@ -51,16 +53,17 @@
 void router_fixture::accept(int version, const std::vector<route_spec>& routes,
                             const std::vector<std::string>& keys)
 {
-    json all{{"version", version},
-             {"routes", json::array()},
-             {"backends", json::array({service_json("plain"), service_json("engines")})},
-             {"limits",
-              {{"max_header_bytes", 16384},
-               {"max_body_bytes", 100000},
-               {"header_timeout_ms", 3000},
-               {"idle_timeout_ms", 15000},
-               {"tokens_per_s", 100000}}},
-             {"tenants", json::array({{{"name", "north"}, {"api_keys", keys}}})}};
+    json all{
+        {"version", version},
+        {"routes", json::array()},
+        {"backends", json::array({service_json("plain", 0), service_json("engines", warmup_rate)})},
+        {"limits",
+         {{"max_header_bytes", 16384},
+          {"max_body_bytes", 100000},
+          {"header_timeout_ms", 3000},
+          {"idle_timeout_ms", 15000},
+          {"tokens_per_s", 100000}}},
+        {"tenants", json::array({{{"name", "north"}, {"api_keys", keys}}})}};
     for (const auto& each : routes)
     {
         all["routes"].push_back(route_json(each));
@@ -85,6 +88,7 @@
     const routing::endpoint any{.ip = "127.0.0.1", .port = 0};
     const router::settings options{.name = base::node_id(name),
                                    .zone = base::zone_id("z1"),
+                                   .zones = {base::zone_id("z1"), base::zone_id("z2")},
                                    .callers = any,
                                    .readiness = any,
                                    .control = any,
--- a/tests/users_platform/router_fixture.hpp
+++ b/tests/users_platform/router_fixture.hpp
@@ -55,6 +55,9 @@
     bool logged(const std::vector<std::string>& parts) const;
 
     stand_in_store store{loop, timers};
+    /// Requests a second that a cold engine bears, in configurations accepted from now on; 0:
+    /// engines are never cold.
+    double warmup_rate = 0;
     /// By which routers live that are started from now on.
     const caraway::base::clock* router_clock = &clock;
     caraway::http::timer_queue* router_timers = &timers;
--- a/tests/users_platform/stand_in_runner.cpp
+++ b/tests/users_platform/stand_in_runner.cpp
@@ -27,10 +27,14 @@
 
 std::string stand_in_runner::entry(const std::string& service, const std::string& state) const
 {
-    return nlohmann::json{{"backend", service}, {"address", "127.0.0.1:" + std::to_string(port_)},
-                          {"zone", "z1"},       {"slots", 4},
-                          {"state", state},     {"sequence", 1}}
-        .dump();
+    nlohmann::json out{{"backend", service}, {"address", "127.0.0.1:" + std::to_string(port_)},
+                       {"zone", zone},       {"slots", 4},
+                       {"state", state},     {"sequence", 1}};
+    if (warmup_left_ms)
+    {
+        out["warmup_left_ms"] = *warmup_left_ms;
+    }
+    return out.dump();
 }
 
 void stand_in_runner::succeed(const run& of, const std::string& body)
--- a/tests/users_platform/stand_in_runner.hpp
+++ b/tests/users_platform/stand_in_runner.hpp
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,8 @@
     std::string entry(const std::string& service, const std::string& state = "ready") const;
 
     std::string instance;
+    std::string zone = "z1";
+    std::optional<int> warmup_left_ms;
     std::deque<behaviour> next;
     std::vector<run> runs;
     /// All arrivals, also those not run.
