--- a/src/libcaraway/router/ports.hpp
+++ b/src/libcaraway/router/ports.hpp
@@ -21,6 +21,8 @@
     base::upstream_id instance;
     std::chrono::milliseconds time_left{};
     std::optional<base::workspace_id> workspace;
+    /// The upstream first takes from there what that one has read of the prompt.
+    std::optional<routing::endpoint> fetch_from;
     /// A stream goes on behind this event; else the caller's own word stands.
     std::optional<std::uint64_t> resume_after;
 };
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -81,11 +81,15 @@
     core_.enter_upstream(id, *this);
     attempt_->sent = now;
     attempt_->connection = core_.pool.take(id);
-    const forward_terms terms{.instance = id,
-                              .time_left = time_left(),
-                              .workspace =
-                                  workspace_ ? std::optional(workspace_->id) : std::nullopt,
-                              .resume_after = begun_ ? last_event_ : std::nullopt};
+    forward_terms terms{.instance = id,
+                        .time_left = time_left(),
+                        .workspace = workspace_ ? std::optional(workspace_->id) : std::nullopt,
+                        .resume_after = begun_ ? last_event_ : std::nullopt};
+    const auto& source = attempt_->place.source;
+    if (source)
+    {
+        terms.fetch_from = source->address;
+    }
     auto message = core_.protocol.forward(request_->head(), request_->body(), terms);
     attempt_->connection->call(attempt_->place.where.address, std::move(message),
                                request_->head().method() == http::verb::head, events_of(attempt_),
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -183,6 +183,10 @@
         line["wait_ms"] = sent_by_->wait.count();
         line["unread"] = sent_by_->load.unread_tokens;
         line["running"] = sent_by_->running;
+        if (sent_by_->source)
+        {
+            line["fetched_from"] = sent_by_->source->id.str();
+        }
     }
     if (begun_)
     {
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -207,21 +207,15 @@
     }
     const auto now = core_.now();
     const auto passed_over = core_.cold.passed_over();
-    routing::placement_request request{.of = service_,
-                                       .prompt_tokens = facts_.prompt_tokens,
-                                       .output_tokens = expected_output(),
-                                       .parts = &facts_.parts,
-                                       .tried = tried_,
-                                       .longest_wait = terms.longest_wait,
-                                       .slot_share = terms.slot_share,
-                                       .most_repeated = terms.most_repeated};
-    if (core_.cold.any())
-    {
-        request.may_send = [this, now](const routing::upstream& which)
-        {
-            return core_.cold.may_send(which, now);
-        };
-    }
+    const routing::placement_request request{.of = service_,
+                                             .prompt_tokens = facts_.prompt_tokens,
+                                             .output_tokens = expected_output(),
+                                             .parts = &facts_.parts,
+                                             .tried = tried_,
+                                             .longest_wait = terms.longest_wait,
+                                             .slot_share = terms.slot_share,
+                                             .cold = core_.cold.any() ? &core_.cold : nullptr,
+                                             .most_repeated = terms.most_repeated};
     auto found =
         core_.placer.choose(request, core_.directory, core_.board, core_.health, core_.pace, now);
     cold_passed_over_ = !found && core_.cold.passed_over() != passed_over;
--- a/src/libcaraway/routing/configuration.hpp
+++ b/src/libcaraway/routing/configuration.hpp
@@ -58,6 +58,8 @@
     std::uint64_t kv_tokens = 0;
     /// Tokens in one event of a stream.
     std::uint32_t tokens_per_event = 1;
+    /// How long one engine takes to hand a token of what it has read to another; 0: they can't.
+    std::chrono::duration<double, std::milli> transfer_per_token{0};
 };
 
 struct service
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -169,7 +169,7 @@
         {
             continue;
         }
-        if (request.may_send && !request.may_send(where))
+        if (request.cold != nullptr && !request.cold->may_send(where, now))
         {
             continue;
         }
@@ -193,7 +193,34 @@
             best = each;
         }
     }
-    return best ? std::optional(placed_at(*best, request)) : std::nullopt;
+    if (!best)
+    {
+        return std::nullopt;
+    }
+    auto out = placed_at(*best, request);
+    const auto* home = homes.homes.empty() ? nullptr : candidates[homes.homes.back()];
+    if (const auto* source = source_for(*best, home, request, shared - best->cached, health, now))
+    {
+        out.source = *source;
+    }
+    return out;
+}
+
+const upstream* placer::source_for(const candidate& chosen, const upstream* home,
+                                   const placement_request& request, std::uint32_t missing,
+                                   const scheduling::upstream_health& health,
+                                   base::time_point now) const
+{
+    const bool may_hold = home != nullptr && home != chosen.where &&
+                          !was_tried(request, home->id) && !health.ejected(home->id, now) &&
+                          (request.cold == nullptr || !request.cold->is_cold(home->id, now));
+    const auto transfer = request.of->engine ? request.of->engine->transfer_per_token.count() : 0;
+    if (!may_hold || transfer <= 0)
+    {
+        return nullptr;
+    }
+    const double gain = missing * (chosen.ms_per_token - transfer);
+    return gain > static_cast<double>(options_.least_gain.count()) ? home : nullptr;
 }
 
 void placer::note_sent(const base::upstream_id& id, const std::vector<prompt_part>& parts,
--- a/src/libcaraway/routing/placer.hpp
+++ b/src/libcaraway/routing/placer.hpp
@@ -3,10 +3,10 @@
 #include "libcaraway/routing/configuration.hpp"
 #include "libcaraway/routing/load_board.hpp"
 #include "libcaraway/routing/reading_pace.hpp"
+#include "libcaraway/routing/slow_start.hpp"
 #include "libcaraway/routing/upstream_directory.hpp"
 #include "libcaraway/scheduling/upstream_health.hpp"
 
-#include <functional>
 #include <limits>
 #include <optional>
 #include <unordered_map>
@@ -36,6 +36,9 @@
     /// A session that doesn't fit its home overflows to the next in line, the same for all routers,
     /// rather than to anywhere: reading its parts anew weighs so much less there.
     double second_home = 0.5;
+    /// How much sooner a part has to be there by a transfer than by reading it anew: a transfer
+    /// has to be set up, and others may be before it.
+    std::chrono::milliseconds least_gain{5};
     /// How long a part that was read is believed to stay in an engine's cache.
     std::chrono::milliseconds part_lifetime{20000};
 };
@@ -53,8 +56,8 @@
     std::chrono::milliseconds longest_wait{300};
     /// Part of an engine's slots that it may use: below 1 for work that should give way.
     double slot_share = 1;
-    /// Whether an upstream that has room takes one more now; absent: all do.
-    std::function<bool(const upstream&)> may_send;
+    /// Which upstreams are cold; absent: none is.
+    slow_start* cold = nullptr;
     /// Tokens of shared parts that may be read anew for it.
     std::uint32_t most_repeated = std::numeric_limits<std::uint32_t>::max();
 };
@@ -64,6 +67,8 @@
     upstream where;
     /// What the request adds there.
     upstream_load load;
+    /// The engine that hands on the shared parts of the prompt which this one lacks.
+    std::optional<upstream> source;
     /// Wait behind the prompts that are before it.
     std::chrono::milliseconds wait{};
     /// Prompt tokens before it.
@@ -126,6 +131,11 @@
     engine_room room_for(const placement_request& request) const;
     bool has_room(const upstream& where, const placement_request& request, const engine_room& room,
                   const upstream_load& total) const;
+    /// Which engine should hand on the shared parts that the chosen one lacks, if any.
+    const upstream* source_for(const candidate& chosen, const upstream* home,
+                               const placement_request& request, std::uint32_t missing,
+                               const scheduling::upstream_health& health,
+                               base::time_point now) const;
     double cost(const candidate& of, const placement_request& request) const;
     placement placed_at(const candidate& of, const placement_request& request) const;
 
--- a/tests/routing/test_placer.cpp
+++ b/tests/routing/test_placer.cpp
@@ -220,4 +220,77 @@
     BOOST_TEST(!place({.of = &plain, .tried = {base::upstream_id("a")}}).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(what_an_engine_lacks_it_takes_from_the_home_of_the_session)
+{
+    engines.engine->transfer_per_token = std::chrono::duration<double, std::milli>(0.0005);
+    const auto parts = session("s1");
+    placement_request request{.of = &engines, .prompt_tokens = 11900, .parts = &parts};
+    for (int engine = 0; engine < 18; ++engine)
+    {
+        add(engines, "e" + std::to_string(engine));
+    }
+    const auto home = place(request)->where;
+    BOOST_TEST(!place(request)->source.has_value());
+
+    board.begin(home.id, {.running = 32});
+    const auto elsewhere = place(request);
+    BOOST_REQUIRE(elsewhere->source.has_value());
+    BOOST_TEST(elsewhere->source->id == home.id);
+    BOOST_TEST(elsewhere->where.id != home.id);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_taken_from_a_home_that_cannot_hold_it)
+{
+    engines.engine->transfer_per_token = std::chrono::duration<double, std::milli>(0.0005);
+    const auto parts = session("s1");
+    placement_request request{.of = &engines, .prompt_tokens = 11900, .parts = &parts};
+    for (int engine = 0; engine < 18; ++engine)
+    {
+        add(engines, "e" + std::to_string(engine));
+    }
+    const auto home = place(request)->where;
+    board.begin(home.id, {.running = 32});
+
+    slow_start cold(base::node_id("r1"));
+    cold.set_terms({{engines.id, {.lasts = 3000ms, .rate = 10}}});
+    cold.note_cold(home, 3000ms, now);
+    request.cold = &cold;
+    BOOST_TEST(!place(request)->source.has_value());
+    request.cold = nullptr;
+
+    request.tried = {home.id};
+    BOOST_TEST(!place(request)->source.has_value());
+    request.tried.clear();
+
+    for (int failure = 0; failure < 5; ++failure)
+    {
+        health.note(home.id, scheduling::attempt_result::failed, {}, now);
+    }
+    BOOST_TEST(health.ejected(home.id, now) != place(request)->source.has_value());
+
+    // Its zone is drained: it has another home.
+    directory.note_zone({.zone = base::zone_id("z1"), .drained = true, .revision = 1});
+    BOOST_TEST(!place(request).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(small_parts_and_engines_that_cannot_hand_on_are_read)
+{
+    const std::vector<prompt_part> small{
+        {.id = "system", .tokens = 119}, {.id = "s1", .tokens = 80}, {.id = "own", .tokens = 400}};
+    const auto large = session("s1");
+    for (int engine = 0; engine < 18; ++engine)
+    {
+        add(engines, "e" + std::to_string(engine));
+    }
+    placement_request request{.of = &engines, .prompt_tokens = 11900, .parts = &large};
+    board.begin(place(request)->where.id, {.running = 32});
+    BOOST_TEST(!place(request)->source.has_value());
+
+    engines.engine->transfer_per_token = std::chrono::duration<double, std::milli>(0.0005);
+    request.parts = &small;
+    request.prompt_tokens = 599;
+    board.begin(place(request)->where.id, {.running = 32});
+    BOOST_TEST(!place(request)->source.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/users_platform/test_requests.cpp
+++ b/tests/users_platform/test_requests.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace users_platform_tests;
+namespace http = caraway::http;
 using caraway::base::zone_id;
 using run = stand_in_runner::run;
 
@@ -244,6 +245,23 @@
 const std::string engine_fields =
     "Api-Key: key-1\r\nX-Model: m\r\nX-Token-Count: 100,40\r\nX-Prefix-Hash: aa:40,bb:60\r\n";
 
+BOOST_AUTO_TEST_CASE(an_upstream_is_told_whom_to_fetch_from_by_the_router_alone)
+{
+    http::request_head head;
+    head.method(http::verb::post);
+    head.target("/s/");
+    head.set("Kv-Fetch", "1.2.3.4:5");
+    const auto protocol = caraway::platform::caller_protocol();
+    const caraway::router::forward_terms terms{.instance = caraway::base::upstream_id("i-1")};
+    BOOST_TEST(protocol.forward(head, "", terms).find("Kv-Fetch") == std::string::npos);
+
+    auto with_source = terms;
+    with_source.fetch_from = caraway::routing::endpoint{.ip = "10.0.0.9", .port = 80};
+    const auto message = protocol.forward(head, "", with_source);
+    BOOST_TEST(message.find("Kv-Fetch: 10.0.0.9:80\r\n") != std::string::npos);
+    BOOST_TEST(message.find("1.2.3.4") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(events_are_passed_on_as_they_come)
 {
     auto& router = serve({.prefix = "/s/", .kind = "streaming", .service = "engines"});
