--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -74,7 +74,7 @@
       peers_(core_.options.name, core_.options.zone), relay_(core_.options.name),
       link_(
           core_, peers_, relay_, [this] { return make_digest(); },
-          [this](const table_copy& copy) { take_copy(copy); }),
+          [this](const table_copy& copy) { return take_copy(copy); }),
       signals_(loop)
 {
 }
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -111,8 +111,13 @@
     /// An entry that doesn't tell of an upstream that may be used.
     void drop_unreadable(const row& from, const base::error& why);
     void take_routers(const std::vector<row>& rows);
-    void take_copy(const table_copy& copy);
+    /// Whether this router's upstreams are those that the copy tells of now.
+    bool take_copy(const table_copy& copy);
     table_copy make_copy(base::config_version peer_has) const;
+    /// What changed since then; nothing: that isn't known any more.
+    std::optional<table_copy> make_partial_copy(base::config_version peer_has,
+                                                const copy_position& since) const;
+    table_copy begin_copy(base::config_version peer_has) const;
     /// The same as text.
     const std::string& copy_for(base::config_version peer_has);
     /// Who this router is and where it is reached; then whether and how it takes callers.
--- a/src/libcaraway/router/daemon_answers.cpp
+++ b/src/libcaraway/router/daemon_answers.cpp
@@ -73,9 +73,15 @@
     const auto target = view(request->head().target());
     if (path_of(request) == "/tables")
     {
-        const auto has = query_value(target, "have");
-        const auto version = has.empty() ? 0 : std::strtoull(has.c_str(), nullptr, 10);
-        answer_json(request, copy_for(base::config_version{version}));
+        const auto number = [&](const char* name)
+        {
+            const auto text = query_value(target, name);
+            return text.empty() ? 0 : std::strtoull(text.c_str(), nullptr, 10);
+        };
+        const base::config_version has{number("have")};
+        const auto partial =
+            make_partial_copy(has, {.life = number("life"), .changes = number("since")});
+        answer_json(request, partial ? encode(*partial) : copy_for(has));
     }
     else if (target == "/state")
     {
--- a/src/libcaraway/router/daemon_peers.cpp
+++ b/src/libcaraway/router/daemon_peers.cpp
@@ -151,7 +151,7 @@
     }
 }
 
-void daemon::take_copy(const table_copy& copy)
+bool daemon::take_copy(const table_copy& copy)
 {
     if (copy.version > core_.version())
     {
@@ -168,20 +168,30 @@
     const bool resting = upstreams_->resting();
     const bool newer = resting && copy.state.revision >= upstreams_->revision();
     const bool needed = newer || upstreams_->lost() || !upstreams_->has_read();
-    if (!needed || copy.upstreams.empty())
+    const bool tells = copy.partial || !copy.upstreams.empty();
+    if (!needed || !tells)
     {
-        return;
+        return false;
     }
     core_.log.line("peer_copy", {{"from", copy.from.str()},
                                  {"revision", copy.state.revision},
                                  {"own_revision", upstreams_->revision()},
+                                 {"partial", copy.partial},
                                  {"upstreams", copy.upstreams.size()}});
-    take_upstreams(copy.upstreams, copy.state.revision, copy.from.str());
+    const auto whole_at = copy.partial ? std::nullopt : std::optional(copy.state.revision);
+    take_upstreams(copy.upstreams, whole_at, copy.from.str());
+    const bool same = core_.directory.mark() == copy.state.mark;
+    if (copy.partial && !same)
+    {
+        // Not taken for a copy of it: the next one is whole.
+        return false;
+    }
     if (resting)
     {
         upstreams_->adopt(copy.state.revision);
         relay_.note_copied(copy.from, copy.state, core_.now());
     }
+    return same;
 }
 
 /// Some hundred peers ask within a second, at a start or for a new configuration; building the
@@ -203,13 +213,46 @@
     return told.text;
 }
 
-table_copy daemon::make_copy(base::config_version peer_has) const
+table_copy daemon::begin_copy(base::config_version peer_has) const
 {
-    table_copy copy{.from = core_.options.name, .version = core_.version(), .state = tables()};
+    table_copy copy{.from = core_.options.name,
+                    .at = {.life = life_, .changes = core_.directory.changes().position()},
+                    .version = core_.version(),
+                    .state = tables(),
+                    .zones = core_.directory.zones().statements()};
     if (peer_has < copy.version)
     {
         copy.configuration = configuration_text_;
     }
+    return copy;
+}
+
+std::optional<table_copy> daemon::make_partial_copy(base::config_version peer_has,
+                                                    const copy_position& since) const
+{
+    const auto changed =
+        since.life == life_ ? core_.directory.changes().since(since.changes) : std::nullopt;
+    if (!changed)
+    {
+        return std::nullopt;
+    }
+    auto copy = begin_copy(peer_has);
+    copy.partial = true;
+    for (const auto& id : *changed)
+    {
+        const auto known = upstream_rows_.find(id.str());
+        const bool listed = core_.directory.find(id) != nullptr && known != upstream_rows_.end();
+        copy.upstreams.push_back(listed ? known->second
+                                        : row{.key = id.str(),
+                                              .removed = true,
+                                              .revision = core_.directory.revision_of(id)});
+    }
+    return copy;
+}
+
+table_copy daemon::make_copy(base::config_version peer_has) const
+{
+    auto copy = begin_copy(peer_has);
     // What the directory believes, not what the store lists: around an outage entries lapse there
     // that this router still holds, and a peer takes the copy for the whole truth.
     for (const auto& [key, each] : upstream_rows_)
@@ -219,7 +262,6 @@
             copy.upstreams.push_back(each);
         }
     }
-    copy.zones = core_.directory.zones().statements();
     for (const auto& [id, each] : peers_.all())
     {
         copy.routers.push_back(each);
--- a/src/libcaraway/router/daemon_tables.cpp
+++ b/src/libcaraway/router/daemon_tables.cpp
@@ -111,7 +111,7 @@
 void daemon::ask_for_routers(base::time_point now)
 {
     const auto* source = peers_.with_store(now, core_.draw());
-    if (source != nullptr && link_.ask(source->control))
+    if (source != nullptr && link_.ask(source->control, true))
     {
         schedule_routers_read(now);
     }
@@ -264,11 +264,6 @@
     const auto now = core_.now();
     std::vector<const row*> news;
     std::set<base::upstream_id> listed;
-    if (whole_at)
-    {
-        std::erase_if(upstream_rows_, [&](const auto& each)
-                      { return core_.directory.find(base::upstream_id(each.first)) == nullptr; });
-    }
     // In the order in which they were written: an upstream may start and leave within one answer.
     for (const auto& each : rows)
     {
@@ -297,6 +292,11 @@
         }
         upstreams_listed_ = true;
     }
+    if (upstream_rows_.size() > core_.directory.size())
+    {
+        std::erase_if(upstream_rows_, [&](const auto& each)
+                      { return core_.directory.find(base::upstream_id(each.first)) == nullptr; });
+    }
     core_.pump();
 }
 
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -1,7 +1,5 @@
 #include "libcaraway/router/peer_link.hpp"
 
-#include "libcaraway/routing/json_parts.hpp"
-
 #include <boost/asio/ip/address.hpp>
 
 namespace caraway::router
@@ -10,10 +8,6 @@
 namespace
 {
 
-using nlohmann::json;
-using routing::endpoint_json;
-using routing::endpoint_of;
-
 /// In a fleet each router hears several digests in this time; longer without one means that the
 /// loop is late, or that there is nobody, and then asking costs a system call at that pace.
 constexpr std::chrono::milliseconds longest_unheard{200};
@@ -27,65 +21,6 @@
 
 }  // namespace
 
-std::string encode(const table_copy& copy)
-{
-    auto upstreams = json::array();
-    for (const auto& each : copy.upstreams)
-    {
-        upstreams.push_back({each.key, each.value, each.revision});
-    }
-    auto routers = json::array();
-    for (const auto& each : copy.routers)
-    {
-        routers.push_back({each.id.str(), each.life, each.zone.str(), endpoint_json(each.callers),
-                           endpoint_json(each.control), endpoint_json(each.datagrams)});
-    }
-    return json{{"from", copy.from.str()},
-                {"configuration", copy.configuration},
-                {"configuration_version", static_cast<std::uint64_t>(copy.version)},
-                {"upstreams", upstreams},
-                {"revision", copy.state.revision},
-                {"mark", copy.state.mark},
-                {"zones", routing::zones_json(copy.zones)},
-                {"routers", routers}}
-        .dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
-base::result<table_copy> decode_copy(const std::string& text)
-{
-    try
-    {
-        const auto from = json::parse(text);
-        table_copy copy{
-            .from = base::node_id(from.at("from").get<std::string>()),
-            .configuration = from.at("configuration").get<std::string>(),
-            .version = base::config_version{from.at("configuration_version").get<std::uint64_t>()},
-            .state = {.revision = from.at("revision").get<std::uint64_t>(),
-                      .mark = from.at("mark").get<std::uint64_t>()},
-            .zones = routing::zones_of(from.at("zones"))};
-        for (const auto& each : from.at("upstreams"))
-        {
-            copy.upstreams.push_back({.key = each.at(0).get<std::string>(),
-                                      .value = each.at(1).get<std::string>(),
-                                      .revision = each.at(2).get<std::uint64_t>()});
-        }
-        for (const auto& each : from.at("routers"))
-        {
-            copy.routers.push_back({.id = base::node_id(each.at(0).get<std::string>()),
-                                    .life = each.at(1).get<std::uint64_t>(),
-                                    .zone = base::zone_id(each.at(2).get<std::string>()),
-                                    .callers = endpoint_of(each.at(3)),
-                                    .control = endpoint_of(each.at(4)),
-                                    .datagrams = endpoint_of(each.at(5))});
-        }
-        return copy;
-    }
-    catch (const json::exception& wrong)
-    {
-        return base::make_error(base::errc::corrupt, wrong.what());
-    }
-}
-
 peer_link::peer_link(core& shared, routing::peer_table& peers, routing::table_relay& relay,
                      digest_source make_digest, copy_taker take_copy)
     : core_(shared), peers_(peers), relay_(relay), make_digest_(std::move(make_digest)),
@@ -138,33 +73,51 @@
     }
 }
 
-bool peer_link::ask(const routing::endpoint& from)
+bool peer_link::ask(const routing::endpoint& from, bool all)
 {
     if (caller_.busy())
     {
         return false;
     }
-    const auto have = std::to_string(static_cast<std::uint64_t>(core_.version()));
-    caller_.call(from, http::get_request(from, "/tables?have=" + have), ask_timeout,
-                 [this, peer = from](base::result<http::whole_answer> result)
-                 {
-                     unanswered_ = result ? 0 : unanswered_ + 1;
-                     if (!result || result.value().status != 200)
-                     {
-                         return;
-                     }
-                     const auto copy = decode_copy(result.value().body);
-                     if (!copy)
-                     {
-                         core_.log.line("peer_copy_unreadable",
-                                        {{"peer", peer.ip}, {"because", copy.error().message}});
-                         return;
-                     }
-                     take_copy_(copy.value());
-                 });
+    auto target = "/tables?have=" + std::to_string(static_cast<std::uint64_t>(core_.version()));
+    const auto known = copied_.find({from.ip, from.port});
+    if (known != copied_.end() && !all)
+    {
+        target += "&life=" + std::to_string(known->second.life) +
+                  "&since=" + std::to_string(known->second.changes);
+    }
+    caller_.call(from, http::get_request(from, target), ask_timeout,
+                 [this, from](const base::result<http::whole_answer>& result)
+                 { on_copy(from, result); });
     return true;
 }
 
+void peer_link::on_copy(const routing::endpoint& from,
+                        const base::result<http::whole_answer>& result)
+{
+    unanswered_ = result ? 0 : unanswered_ + 1;
+    if (!result || result.value().status != 200)
+    {
+        return;
+    }
+    const auto copy = decode_copy(result.value().body);
+    if (!copy)
+    {
+        core_.log.line("peer_copy_unreadable",
+                       {{"peer", from.ip}, {"because", copy.error().message}});
+        return;
+    }
+    const std::pair key(from.ip, from.port);
+    if (take_copy_(copy.value()))
+    {
+        copied_[key] = copy.value().at;
+    }
+    else
+    {
+        copied_.erase(key);
+    }
+}
+
 void peer_link::hear_waiting()
 {
     if (core_.now() - last_heard_ >= longest_unheard)
--- a/src/libcaraway/router/peer_link.hpp
+++ b/src/libcaraway/router/peer_link.hpp
@@ -3,6 +3,7 @@
 #include "libcaraway/http/owner_token.hpp"
 #include "libcaraway/http/whole_call.hpp"
 #include "libcaraway/router/core.hpp"
+#include "libcaraway/router/table_copy.hpp"
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -11,30 +12,12 @@
 namespace caraway::router
 {
 
-/// What a router hands to a peer that can't reach the platform's store: the rows as they stand
-/// there, so that the peer decodes them by itself.
-struct table_copy
-{
-    base::node_id from;
-    std::string configuration;
-    base::config_version version{};
-    std::vector<row> upstreams;
-    /// What `upstreams` is a copy of.
-    routing::table_state state;
-    /// What was said last of availability zones.
-    std::vector<routing::zone_statement> zones;
-    /// The sender and the routers that it knows: names and addresses only.
-    std::vector<routing::peer> routers;
-};
-
-std::string encode(const table_copy& copy);
-base::result<table_copy> decode_copy(const std::string& text);
-
 /// Speaks with the other routers: digests by datagram, copies of the platform's tables by HTTP.
 class peer_link
 {
 public:
-    using copy_taker = std::function<void(const table_copy&)>;
+    /// Whether this router holds now what the copy told, so that the next may be partial.
+    using copy_taker = std::function<bool(const table_copy&)>;
     using digest_source = std::function<routing::digest()>;
 
     peer_link(core& shared, routing::peer_table& peers, routing::table_relay& relay,
@@ -51,8 +34,9 @@
     /// of the loop takes a second and more; a request that was placed in it went to an upstream
     /// that had left 3 to 4 s before, though the word of it lay here.
     void hear_waiting();
-    /// Asks for a copy of the tables unless a question is under way; whether it did.
-    bool ask(const routing::endpoint& from);
+    /// Asks for a copy of the tables unless a question is under way; whether it did. Of what was
+    /// copied from there before only the changes are told, unless all is wanted.
+    bool ask(const routing::endpoint& from, bool all = false);
     /// Questions in a row that got no answer.
     std::size_t unanswered() const
     {
@@ -73,12 +57,15 @@
     /// hundred others on a VM whose turns take tens of milliseconds.
     void hear_all();
     void on_digest(std::string_view bytes);
+    void on_copy(const routing::endpoint& from, const base::result<http::whole_answer>& result);
 
     core& core_;
     routing::peer_table& peers_;
     routing::table_relay& relay_;
     digest_source make_digest_;
     copy_taker take_copy_;
+    /// What this router holds of each peer's tables, by where it asks the peer.
+    std::map<std::pair<std::string, std::uint16_t>, copy_position> copied_;
     udp::socket socket_;
     base::time_point last_heard_{};
     std::size_t unanswered_ = 0;
--- a/src/libcaraway/routing/upstream_directory.cpp
+++ b/src/libcaraway/routing/upstream_directory.cpp
@@ -24,6 +24,7 @@
     auto& kept = entries_[entry.id];
     kept = entry;
     kept.hash = scheduling::stable_hash(entry.id.str());
+    changes_.note(entry.id);
     usable_.clear();
     if (entry.draining)
     {
@@ -173,7 +174,10 @@
 
 void upstream_directory::forget(const base::upstream_id& id)
 {
-    entries_.erase(id);
+    if (entries_.erase(id) > 0)
+    {
+        changes_.note(id);
+    }
     missing_.erase(id);
     usable_.clear();
 }
@@ -271,6 +275,10 @@
 {
     using scheduling::combine;
     using scheduling::stable_hash;
+    if (mark_.first == changes_.position())
+    {
+        return mark_.second;
+    }
     std::uint64_t all = 0;
     for (const auto& [id, entry] : entries_)
     {
@@ -283,9 +291,16 @@
         all = combine(all, entry.warmup_left.value_or(std::chrono::milliseconds(0)).count() > 0);
         all = combine(all, static_cast<std::uint64_t>(entry.born.count()));
     }
+    mark_ = {changes_.position(), all};
     return all;
 }
 
+std::uint64_t upstream_directory::revision_of(const base::upstream_id& id) const
+{
+    const auto known = last_.find(id);
+    return known == last_.end() ? 0 : known->second.revision;
+}
+
 bool upstream_directory::in_grace(base::time_point now) const
 {
     return lost_ || now < grace_until_;
--- a/src/libcaraway/routing/upstream_directory.hpp
+++ b/src/libcaraway/routing/upstream_directory.hpp
@@ -2,6 +2,7 @@
 
 #include "libcaraway/base/clock.hpp"
 #include "libcaraway/base/ids.hpp"
+#include "libcaraway/routing/change_log.hpp"
 #include "libcaraway/routing/drained_zones.hpp"
 
 #include <cstdint>
@@ -156,6 +157,13 @@
     }
     /// A hash of all entries, the same at each router that holds the same.
     std::uint64_t mark() const;
+    /// Entries that came, changed or went.
+    const change_log& changes() const
+    {
+        return changes_;
+    }
+    /// The revision of the last statement about it; 0: there was none.
+    std::uint64_t revision_of(const base::upstream_id& id) const;
     /// All entries, for the dump and for peers that can't reach the store.
     const std::map<base::upstream_id, upstream>& all() const
     {
@@ -189,6 +197,9 @@
     life_times leaving_;
     life_times told_;
     drained_zones zones_;
+    change_log changes_;
+    /// As of which change the mark was worked out, and what it is.
+    mutable std::pair<std::uint64_t, std::uint64_t> mark_{};
     /// By service, as asked for since the last change: each request asks.
     mutable std::map<base::service_id, std::vector<const upstream*>> usable_;
     /// Listed no more, but not yet believed.
--- a/tests/users_platform/test_tables.cpp
+++ b/tests/users_platform/test_tables.cpp
@@ -497,4 +497,49 @@
     BOOST_TEST(becomes_true([&] { return all_use("i-1 "); }));
 }
 
+// Guards against a busy router that hands whole tables to all of its zone at each change.
+BOOST_AUTO_TEST_CASE(those_that_do_not_ask_the_store_are_told_only_what_changed)
+{
+    stand_in_runner third{loop, timers, "i-3"};
+    for (int number = 1; number <= 6; ++number)
+    {
+        start_router("r" + std::to_string(number));
+    }
+    const auto all_use = [&](const std::string& ids)
+    {
+        return std::all_of(routers.begin(), routers.end(),
+                           [&](const auto& each) { return usable(*each) == ids; });
+    };
+    const auto copies = [&](bool partial)
+    {
+        const std::string part = partial ? "\"partial\":true" : "\"partial\":false";
+        int count = 0;
+        for (const auto& each : lines)
+        {
+            for (auto at = each.find(part); at != std::string::npos; at = each.find(part, at + 1))
+            {
+                ++count;
+            }
+        }
+        return count;
+    };
+    BOOST_REQUIRE(becomes_true([&] { return all_use("i-1 "); }));
+    add(second);
+    BOOST_REQUIRE(becomes_true([&] { return all_use("i-1 i-2 "); }));
+
+    constexpr int turns = 8;
+    for (int turn = 0; turn < turns; ++turn)
+    {
+        add(third);
+        BOOST_REQUIRE(becomes_true([&] { return all_use("i-1 i-2 i-3 "); }));
+        store.remove("servers", "i-3");
+        BOOST_REQUIRE(becomes_true([&] { return all_use("i-1 i-2 "); }));
+    }
+
+    // The first copy of each of the two that ask is whole.
+    constexpr int others = 4;
+    BOOST_TEST(copies(false) <= 2 * others);
+    BOOST_TEST(copies(true) >= turns * others);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
