--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -215,6 +215,7 @@
                                              .longest_wait = terms.longest_wait,
                                              .slot_share = terms.slot_share,
                                              .cold = core_.cold.any() ? &core_.cold : nullptr,
+                                             .draw = core_.draw(),
                                              .most_repeated = terms.most_repeated};
     auto found =
         core_.placer.choose(request, core_.directory, core_.board, core_.health, core_.pace, now);
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -31,31 +31,6 @@
     return chain;
 }
 
-/// Where a request's shared parts are at home, among the candidates by index.
-struct prompt_homes
-{
-    static constexpr std::size_t nowhere = std::numeric_limits<std::size_t>::max();
-
-    /// Each shared part with all before it, and the home of each.
-    std::vector<std::uint64_t> shared;
-    std::vector<std::size_t> homes;
-    /// The next in line for the deepest part.
-    std::size_t second = nowhere;
-
-    /// How many shared parts, from the first, the candidate is believed to hold as a home.
-    std::size_t depth(std::size_t candidate) const
-    {
-        for (std::size_t part = homes.size(); part > 0; --part)
-        {
-            if (homes[part - 1] == candidate)
-            {
-                return part;
-            }
-        }
-        return 0;
-    }
-};
-
 /// The highest and second highest weight of a part over the candidates: rendezvous hashing.
 std::pair<std::size_t, std::size_t> best_two(std::uint64_t part,
                                              const std::vector<const upstream*>& candidates)
@@ -152,58 +127,100 @@
                                         const scheduling::upstream_health& health,
                                         const reading_pace& pace, base::time_point now)
 {
-    const auto& candidates = directory.usable(request.of->id);
-    const auto homes = homes_for(candidates, request.of->engine ? request.parts : nullptr);
-    const auto shared = shared_tokens(request);
-    const auto room = room_for(request);
-    std::optional<candidate> best;
-    double lowest = std::numeric_limits<double>::infinity();
-    // What most often rules one out comes first: with hundreds of engines, most of them full, a
-    // request that finds no place costs a small VM more than one that is served.
-    for (std::size_t index = 0; index < candidates.size(); ++index)
+    const search within{.request = request,
+                        .candidates = directory.usable(request.of->id),
+                        .board = board,
+                        .health = health,
+                        .pace = pace,
+                        .now = now,
+                        .homes = homes_for(directory.usable(request.of->id),
+                                           request.of->engine ? request.parts : nullptr),
+                        .shared = shared_tokens(request),
+                        .room = room_for(request)};
+    const auto best = cheapest(within);
+    if (!best)
     {
-        const auto& where = *candidates[index];
-        candidate each{.where = &where, .total = board.total(where.id)};
-        if (!has_room(where, request, room, each.total) || was_tried(request, where.id) ||
-            !health.usable(where.id, board.own_running(where.id), now))
-        {
-            continue;
-        }
-        if (request.cold != nullptr && !request.cold->may_send(where, now))
-        {
-            continue;
-        }
-        each.ms_per_token = pace.ms_per_token(where.id);
-        each.wait = wait_of(request, each.total, each.ms_per_token);
-        if (each.total.running > 0 && each.wait > request.longest_wait)
+        return std::nullopt;
+    }
+    auto out = placed_at(*best, request);
+    const auto& homes = within.homes.homes;
+    const auto* home = homes.empty() ? nullptr : within.candidates[homes.back()];
+    if (const auto* source =
+            source_for(*best, home, request, within.shared - best->cached, health, now))
+    {
+        out.source = *source;
+    }
+    return out;
+}
+
+/// In a fleet of thousands a request is compared with its homes and some drawn ones: among so many
+/// one is nearly as good as the best of all, at a fraction of a small VM's time. Only if none of
+/// them takes it are all asked, as capacity must not idle while work waits.
+std::optional<placer::candidate> placer::cheapest(const search& within) const
+{
+    choice found;
+    const auto count = within.candidates.size();
+    if (count > options_.all_compared)
+    {
+        for (const auto home : within.homes.homes)
         {
-            continue;
+            consider(within, home, found);
         }
-        each.cached = cached_tokens(where.id, request, homes.shared, homes.depth(index), now);
-        const bool second_home = homes.second == index;
-        if (shared - each.cached > request.most_repeated && !second_home)
+        if (within.homes.second != prompt_homes::nowhere)
         {
-            continue;
+            consider(within, within.homes.second, found);
         }
-        each.repeated = (shared - each.cached) * (second_home ? options_.second_home : 1.0);
-        const double costs = cost(each, request);
-        if (costs < lowest)
+        const auto first =
+            static_cast<std::size_t>(within.request.draw * static_cast<double>(count));
+        for (std::size_t each = 0; each < options_.drawn; ++each)
         {
-            lowest = costs;
-            best = each;
+            consider(within, (first + each) % count, found);
         }
     }
-    if (!best)
+    for (std::size_t index = 0; index < count && (count <= options_.all_compared || !found.best);
+         ++index)
     {
-        return std::nullopt;
+        consider(within, index, found);
     }
-    auto out = placed_at(*best, request);
-    const auto* home = homes.homes.empty() ? nullptr : candidates[homes.homes.back()];
-    if (const auto* source = source_for(*best, home, request, shared - best->cached, health, now))
+    return found.best;
+}
+
+void placer::consider(const search& within, std::size_t index, choice& found) const
+{
+    const auto& request = within.request;
+    const auto& where = *within.candidates[index];
+    candidate each{.where = &where, .total = within.board.total(where.id)};
+    // What most often rules one out comes first: with hundreds of engines, most of them full, a
+    // request that finds no place costs a small VM more than one that is served.
+    if (!has_room(where, request, within.room, each.total) || was_tried(request, where.id) ||
+        !within.health.usable(where.id, within.board.own_running(where.id), within.now))
     {
-        out.source = *source;
+        return;
+    }
+    if (request.cold != nullptr && !request.cold->may_send(where, within.now))
+    {
+        return;
+    }
+    each.ms_per_token = within.pace.ms_per_token(where.id);
+    each.wait = wait_of(request, each.total, each.ms_per_token);
+    if (each.total.running > 0 && each.wait > request.longest_wait)
+    {
+        return;
+    }
+    const auto& homes = within.homes;
+    each.cached = cached_tokens(where.id, request, homes.shared, homes.depth(index), within.now);
+    const bool second_home = homes.second == index;
+    if (within.shared - each.cached > request.most_repeated && !second_home)
+    {
+        return;
+    }
+    each.repeated = (within.shared - each.cached) * (second_home ? options_.second_home : 1.0);
+    const double costs = cost(each, request);
+    if (costs < found.lowest)
+    {
+        found.lowest = costs;
+        found.best = each;
     }
-    return out;
 }
 
 const upstream* placer::source_for(const candidate& chosen, const upstream* home,
--- a/src/libcaraway/routing/placer.hpp
+++ b/src/libcaraway/routing/placer.hpp
@@ -39,6 +39,10 @@
     /// How much sooner a part has to be there by a transfer than by reading it anew: a transfer
     /// has to be set up, and others may be before it.
     std::chrono::milliseconds least_gain{5};
+    /// Up to so many upstreams of a service are all compared for each request; of more, its homes
+    /// and so many drawn ones.
+    std::size_t all_compared = 256;
+    std::size_t drawn = 96;
     /// How long a part that was read is believed to stay in an engine's cache.
     std::chrono::milliseconds part_lifetime{20000};
 };
@@ -58,6 +62,8 @@
     double slot_share = 1;
     /// Which upstreams are cold; absent: none is.
     slow_start* cold = nullptr;
+    /// Uniform in [0, 1): which upstreams it is compared with where there are too many.
+    double draw = 0;
     /// Tokens of shared parts that may be read anew for it.
     std::uint32_t most_repeated = std::numeric_limits<std::uint32_t>::max();
 };
@@ -77,6 +83,31 @@
     std::uint32_t running = 0;
 };
 
+/// Where a request's shared parts are at home, among the candidates by index.
+struct prompt_homes
+{
+    static constexpr std::size_t nowhere = std::numeric_limits<std::size_t>::max();
+
+    /// Each shared part with all before it, and the home of each.
+    std::vector<std::uint64_t> shared;
+    std::vector<std::size_t> homes;
+    /// The next in line for the deepest part.
+    std::size_t second = nowhere;
+
+    /// How many shared parts, from the first, the candidate is believed to hold as a home.
+    std::size_t depth(std::size_t candidate) const
+    {
+        for (std::size_t part = homes.size(); part > 0; --part)
+        {
+            if (homes[part - 1] == candidate)
+            {
+                return part;
+            }
+        }
+        return 0;
+    }
+};
+
 /// Chooses the upstream where a request starts soonest, as far as the load board knows: waiting
 /// prompts, its own prompt less what a cache is believed to hold, running requests, distance.
 ///
@@ -128,6 +159,29 @@
         std::uint64_t tokens = 0;
     };
 
+    /// What a request is compared by.
+    struct search
+    {
+        const placement_request& request;
+        const std::vector<const upstream*>& candidates;
+        const load_board& board;
+        const scheduling::upstream_health& health;
+        const reading_pace& pace;
+        base::time_point now;
+        prompt_homes homes;
+        std::uint32_t shared = 0;
+        engine_room room;
+    };
+
+    struct choice
+    {
+        std::optional<candidate> best;
+        double lowest = std::numeric_limits<double>::infinity();
+    };
+
+    std::optional<candidate> cheapest(const search& within) const;
+    /// Takes it for the choice if it has room and costs less than the one before.
+    void consider(const search& within, std::size_t index, choice& found) const;
     engine_room room_for(const placement_request& request) const;
     bool has_room(const upstream& where, const placement_request& request, const engine_room& room,
                   const upstream_load& total) const;
--- a/tests/routing/test_placer.cpp
+++ b/tests/routing/test_placer.cpp
@@ -293,4 +293,44 @@
     BOOST_TEST(!place(request)->source.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(among_thousands_a_session_finds_its_home_and_others_spread)
+{
+    for (int engine = 0; engine < 3000; ++engine)
+    {
+        add(engines, "e" + std::to_string(engine));
+    }
+    const auto parts = session("s1");
+    placement_request request{.of = &engines, .prompt_tokens = 11900, .parts = &parts};
+    std::map<base::upstream_id, int> homes;
+    std::map<base::upstream_id, int> others;
+    for (int each = 0; each < 30; ++each)
+    {
+        request.draw = each / 30.0;
+        request.parts = &parts;
+        ++homes[place(request)->where.id];
+        request.parts = nullptr;
+        ++others[place(request)->where.id];
+    }
+    BOOST_TEST(homes.size() == 1U);
+    BOOST_TEST(others.size() >= 25U);
+}
+
+// Guards against engines that idle as no request happens to be compared with them.
+BOOST_AUTO_TEST_CASE(among_thousands_the_only_free_engine_is_found)
+{
+    for (int engine = 0; engine < 3000; ++engine)
+    {
+        add(engines, "e" + std::to_string(engine));
+        if (engine != 1234)
+        {
+            board.begin(base::upstream_id("e" + std::to_string(engine)), {.running = 32});
+        }
+    }
+    const auto parts = session("s1");
+    const auto found =
+        place({.of = &engines, .prompt_tokens = 11900, .parts = &parts, .draw = 0.9});
+    BOOST_REQUIRE(found.has_value());
+    BOOST_TEST(found->where.id.str() == "e1234");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
