--- a/src/libcaraway/routing/peer_table.cpp
+++ b/src/libcaraway/routing/peer_table.cpp
@@ -290,7 +290,8 @@
 std::chrono::milliseconds peer_table::silence() const
 {
     const auto periods = static_cast<double>(period().count()) * options_.silent_periods;
-    return std::chrono::milliseconds(static_cast<std::int64_t>(periods));
+    const std::chrono::milliseconds usual(static_cast<std::int64_t>(periods));
+    return std::min(usual, options_.longest_silence);
 }
 
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/peer_table.hpp
+++ b/src/libcaraway/routing/peer_table.hpp
@@ -19,6 +19,8 @@
     std::size_t full_rate = 16;
     /// A peer that was silent for so many periods isn't given to callers.
     double silent_periods = 6.5;
+    /// However long those are: callers mustn't be sent for long to one that is gone.
+    std::chrono::milliseconds longest_silence{5000};
     /// A silent peer still gets digests, less often, so that a healed cut is noticed.
     std::chrono::milliseconds probe_period{1000};
     /// Peers heard within this count when a router asks itself whether it is cut off.
--- a/tests/routing/test_peers.cpp
+++ b/tests/routing/test_peers.cpp
@@ -63,6 +63,25 @@
                 std::vector<endpoint>{{.ip = "b", .port = 80}}));
 }
 
+// Guards against callers of a large fleet that are sent to VMs which have been gone for seconds.
+BOOST_AUTO_TEST_CASE(among_hundreds_a_router_that_is_gone_is_named_for_five_seconds_at_most)
+{
+    auto peers = make();
+    for (int each = 0; each < 300; ++each)
+    {
+        peers.heard(from("r" + std::to_string(each)), now);
+    }
+    const auto later = now + 5s;
+    for (int each = 1; each < 300; ++each)
+    {
+        peers.heard(from("r" + std::to_string(each), 1, 2), later);
+    }
+    const auto entries = peers.entries(zone, self, later, lowest);
+    BOOST_TEST(entries.size() == 64U);
+    const endpoint gone{.ip = "r0", .port = 80};
+    BOOST_TEST((std::find(entries.begin(), entries.end(), gone) == entries.end()));
+}
+
 BOOST_AUTO_TEST_CASE(a_silent_router_is_left_out)
 {
     auto peers = make();
