--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -114,9 +114,12 @@
     /// Whether this router's upstreams are those that the copy tells of now.
     bool take_copy(const table_copy& copy);
     table_copy make_copy(base::config_version peer_has) const;
-    /// What changed since then; nothing: that isn't known any more.
+    /// What changed since then, and the routers known if they are wanted; nothing: that isn't known
+    /// any more.
     std::optional<table_copy> make_partial_copy(base::config_version peer_has,
-                                                const copy_position& since) const;
+                                                const copy_position& since,
+                                                bool with_routers) const;
+    std::vector<routing::peer> known_routers() const;
     table_copy begin_copy(base::config_version peer_has) const;
     /// The same as text.
     const std::string& copy_for(base::config_version peer_has);
--- a/src/libcaraway/router/daemon_answers.cpp
+++ b/src/libcaraway/router/daemon_answers.cpp
@@ -79,8 +79,8 @@
             return text.empty() ? 0 : std::strtoull(text.c_str(), nullptr, 10);
         };
         const base::config_version has{number("have")};
-        const auto partial =
-            make_partial_copy(has, {.life = number("life"), .changes = number("since")});
+        const copy_position since{.life = number("life"), .changes = number("since")};
+        const auto partial = make_partial_copy(has, since, number("routers") > 0);
         answer_json(request, partial ? encode(*partial) : copy_for(has));
     }
     else if (target == "/state")
--- a/src/libcaraway/router/daemon_peers.cpp
+++ b/src/libcaraway/router/daemon_peers.cpp
@@ -228,7 +228,8 @@
 }
 
 std::optional<table_copy> daemon::make_partial_copy(base::config_version peer_has,
-                                                    const copy_position& since) const
+                                                    const copy_position& since,
+                                                    bool with_routers) const
 {
     const auto changed =
         since.life == life_ ? core_.directory.changes().since(since.changes) : std::nullopt;
@@ -238,6 +239,10 @@
     }
     auto copy = begin_copy(peer_has);
     copy.partial = true;
+    if (with_routers)
+    {
+        copy.routers = known_routers();
+    }
     for (const auto& id : *changed)
     {
         const auto known = upstream_rows_.find(id.str());
@@ -262,12 +267,19 @@
             copy.upstreams.push_back(each);
         }
     }
+    copy.routers = known_routers();
+    return copy;
+}
+
+std::vector<routing::peer> daemon::known_routers() const
+{
+    std::vector<routing::peer> out;
     for (const auto& [id, each] : peers_.all())
     {
-        copy.routers.push_back(each);
+        out.push_back(each);
     }
-    copy.routers.push_back(self());
-    return copy;
+    out.push_back(self());
+    return out;
 }
 
 routing::digest daemon::identity() const
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -73,7 +73,7 @@
     }
 }
 
-bool peer_link::ask(const routing::endpoint& from, bool all)
+bool peer_link::ask(const routing::endpoint& from, bool routers)
 {
     if (caller_.busy())
     {
@@ -81,11 +81,12 @@
     }
     auto target = "/tables?have=" + std::to_string(static_cast<std::uint64_t>(core_.version()));
     const auto known = copied_.find({from.ip, from.port});
-    if (known != copied_.end() && !all)
+    if (known != copied_.end())
     {
         target += "&life=" + std::to_string(known->second.life) +
                   "&since=" + std::to_string(known->second.changes);
     }
+    target += routers ? "&routers=1" : "";
     caller_.call(from, http::get_request(from, target), ask_timeout,
                  [this, from](const base::result<http::whole_answer>& result)
                  { on_copy(from, result); });
--- a/src/libcaraway/router/peer_link.hpp
+++ b/src/libcaraway/router/peer_link.hpp
@@ -34,9 +34,10 @@
     /// of the loop takes a second and more; a request that was placed in it went to an upstream
     /// that had left 3 to 4 s before, though the word of it lay here.
     void hear_waiting();
-    /// Asks for a copy of the tables unless a question is under way; whether it did. Of what was
-    /// copied from there before only the changes are told, unless all is wanted.
-    bool ask(const routing::endpoint& from, bool all = false);
+    /// Asks for a copy of the tables unless a question is under way; whether it did. Of
+    /// upstreams that were copied from there before only the changes are told; `routers` if those
+    /// that the peer knows are wanted besides.
+    bool ask(const routing::endpoint& from, bool routers = false);
     /// Questions in a row that got no answer.
     std::size_t unanswered() const
     {
--- a/src/libcaraway/router/table_copy.hpp
+++ b/src/libcaraway/router/table_copy.hpp
@@ -34,7 +34,8 @@
     routing::table_state state;
     /// What was said last of availability zones.
     std::vector<routing::zone_statement> zones;
-    /// The sender and the routers that it knows, names and addresses only; empty if partial.
+    /// The sender and the routers that it knows, names and addresses only; a partial copy has them
+    /// if asked.
     std::vector<routing::peer> routers;
 };
 
