--- a/tests/routing/test_placer.cpp
+++ b/tests/routing/test_placer.cpp
@@ -34,6 +34,19 @@
                       {.revision = 1, .heard = now});
     }
 
+    void add_engines(int count)
+    {
+        for (int engine = 0; engine < count; ++engine)
+        {
+            add(engines, "e" + std::to_string(engine));
+        }
+    }
+
+    void let_engines_hand_on()
+    {
+        engines.engine->transfer_per_token = std::chrono::duration<double, std::milli>(0.0005);
+    }
+
     std::optional<placement> place(const placement_request& request)
     {
         return choice.choose(request, directory, board, health, pace, now);
@@ -222,13 +235,10 @@
 
 BOOST_AUTO_TEST_CASE(what_an_engine_lacks_it_takes_from_the_home_of_the_session)
 {
-    engines.engine->transfer_per_token = std::chrono::duration<double, std::milli>(0.0005);
+    let_engines_hand_on();
     const auto parts = session("s1");
     placement_request request{.of = &engines, .prompt_tokens = 11900, .parts = &parts};
-    for (int engine = 0; engine < 18; ++engine)
-    {
-        add(engines, "e" + std::to_string(engine));
-    }
+    add_engines(18);
     const auto home = place(request)->where;
     BOOST_TEST(!place(request)->source.has_value());
 
@@ -241,13 +251,10 @@
 
 BOOST_AUTO_TEST_CASE(nothing_is_taken_from_a_home_that_cannot_hold_it)
 {
-    engines.engine->transfer_per_token = std::chrono::duration<double, std::milli>(0.0005);
+    let_engines_hand_on();
     const auto parts = session("s1");
     placement_request request{.of = &engines, .prompt_tokens = 11900, .parts = &parts};
-    for (int engine = 0; engine < 18; ++engine)
-    {
-        add(engines, "e" + std::to_string(engine));
-    }
+    add_engines(18);
     const auto home = place(request)->where;
     board.begin(home.id, {.running = 32});
 
@@ -278,15 +285,12 @@
     const std::vector<prompt_part> small{
         {.id = "system", .tokens = 119}, {.id = "s1", .tokens = 80}, {.id = "own", .tokens = 400}};
     const auto large = session("s1");
-    for (int engine = 0; engine < 18; ++engine)
-    {
-        add(engines, "e" + std::to_string(engine));
-    }
+    add_engines(18);
     placement_request request{.of = &engines, .prompt_tokens = 11900, .parts = &large};
     board.begin(place(request)->where.id, {.running = 32});
     BOOST_TEST(!place(request)->source.has_value());
 
-    engines.engine->transfer_per_token = std::chrono::duration<double, std::milli>(0.0005);
+    let_engines_hand_on();
     request.parts = &small;
     request.prompt_tokens = 599;
     board.begin(place(request)->where.id, {.running = 32});
