Router: a refusal says whether its share or the engines held it, and shares are logged beside what engines do

Cause: lines told neither what engines did (slots, requests running, tokens of all served) beside the configured capacity, nor whether a request without a place would have found one on the terms of a workspace within its share, so the three hypotheses of the incident looked alike. No decision changed.

--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -290,6 +290,28 @@
     }
 }
 
+engine_usage core::engine_usage() const
+{
+    router::engine_usage usage;
+    if (!table_)
+    {
+        return usage;
+    }
+    for (const auto& service : table_->accepted().services)
+    {
+        if (!service.engine)
+        {
+            continue;
+        }
+        for (const auto* engine : directory.usable(service.id))
+        {
+            usage.slots += service.engine->slots;
+            usage.running += load_tracker.total(engine->id).running;
+        }
+    }
+    return usage;
+}
+
 double core::random_unit()
 {
     return std::uniform_real_distribution<double>(0, 1)(random_);
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -29,6 +29,13 @@
 
 class request_session;
 
+/// Slots of the engines that accept requests, and the requests of all routers that occupy them.
+struct engine_usage
+{
+    std::uint64_t slots = 0;
+    std::uint64_t running = 0;
+};
+
 /// Below this remaining time a request is not sent: no upstream could answer before its deadline.
 inline constexpr std::chrono::milliseconds min_time_left{25};
 
@@ -92,6 +99,8 @@
     /// Adds a request to those in flight at the upstream, or removes it.
     void track_in_flight(const base::upstream_id& id, request_session& session);
     void untrack_in_flight(const base::upstream_id& id, request_session& session);
+    /// Sums over the engines of all services.
+    router::engine_usage engine_usage() const;
     /// Uniform in [0, 1).
     double random_unit();
     /// Processes datagrams of peers that are still unread in the socket, if the state known from
--- a/src/libcaraway/router/daemon_report.cpp
+++ b/src/libcaraway/router/daemon_report.cpp
@@ -86,7 +86,14 @@
         return;
     }
     const auto basis = core_.shares.basis(now);
+    const auto engines = core_.engine_usage();
     core_.log.line("shares", {{"even_share", round_to_integer(basis.even_share)},
+                              {"capacity", round_to_integer(basis.capacity)},
+                              {"asked", round_to_integer(basis.total.demanded)},
+                              {"served", round_to_integer(basis.total.served)},
+                              {"slots", engines.slots},
+                              {"running", engines.running},
+                              {"waiting", core_.wait_queue.size()},
                               {"backlogged", basis.backlogged},
                               {"least_flooding", round_to_integer(basis.min_backlogged_served)},
                               {"mean_age_ms", basis.mean_age.count()},
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -173,6 +173,11 @@
     {
         line["upstream"] = tried_.back().str();
     }
+    const bool found_no_place = reason == "waited" || reason == "no_place";
+    if (found_no_place)
+    {
+        line["held_by"] = has_place_within_share() ? "share" : "engines";
+    }
     if (service_ != nullptr && service_->engine)
     {
         line["prompt"] = metadata_.prompt_tokens;
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -203,10 +203,12 @@
 {
     core_.receive_peer_updates();
     const auto terms = routing::admit(*route_, share_status(), {});
-    if (terms.blocked)
-    {
-        return std::nullopt;
-    }
+    return terms.blocked ? std::nullopt : find_placement(terms);
+}
+
+std::optional<routing::placement>
+request_session::find_placement(const routing::admission_terms& terms)
+{
     const auto now = core_.now();
     const auto skipped_before = core_.slow_start.skip_count();
     const routing::placement_request request{
@@ -226,6 +228,11 @@
     return placement;
 }
 
+bool request_session::has_place_within_share()
+{
+    return find_placement(routing::admit(*route_, {}, {})).has_value();
+}
+
 void request_session::on_wait_expired()
 {
     wait_id_.reset();
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -70,6 +70,9 @@
     void release_attempt();
     void refund_share(routing::attempt_outcome outcome);
     std::optional<routing::placement> find_placement();
+    std::optional<routing::placement> find_placement(const routing::admission_terms& terms);
+    /// Whether an upstream would take the request on the terms of a workspace within its share.
+    bool has_place_within_share();
     void deliver(const attempt& current);
     void reject(std::string_view reason);
     /// Why no upstream was found; `default_reason` if there is no more specific reason.
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -161,9 +161,16 @@
 share_basis workspace_shares::basis(base::time_point now)
 {
     using std::chrono::milliseconds;
-    share_basis summary{.even_share = even_share_,
+    share_basis summary{.capacity =
+                            capacity_ * std::chrono::duration<double>(options_.window).count(),
+                        .even_share = even_share_,
                         .backlogged = any_backlogged_,
                         .min_backlogged_served = min_backlogged_served_};
+    for (const auto& [id, usage] : fleet_usage_)
+    {
+        summary.total.demanded += usage.demanded;
+        summary.total.served += usage.served;
+    }
     base::duration total_age{};
     for (const auto& [peer, known] : peers_)
     {
--- a/src/libcaraway/routing/workspace_shares.hpp
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -45,6 +45,10 @@
 /// The quantities that the allocation is based on, for the log.
 struct share_basis
 {
+    /// Tokens that the configured capacity amounts to within the window.
+    double capacity = 0;
+    /// Sums over all workspaces of the fleet.
+    workspace_usage total;
     /// Tokens that each workspace is entitled to within the window.
     double even_share = 0;
     /// Some workspace is served less than it demands.
