Shares: what is refused counts for a second, apart from what engines hold within the share

Cause: a workspace counted as backlogged by sums over four seconds of what it asked and had; nothing told whether it waits now, nor whether engines, its own terms or a router's processor held it.

--- a/src/libcaraway/router/daemon_report.cpp
+++ b/src/libcaraway/router/daemon_report.cpp
@@ -29,6 +29,8 @@
             {"own_served", round_to_integer(workspace.own.served)},
             {"asked", round_to_integer(workspace.fleet_total.demanded)},
             {"served", round_to_integer(workspace.fleet_total.served)},
+            {"refused", round_to_integer(workspace.fleet_total.refused)},
+            {"held_by_engines", round_to_integer(workspace.fleet_total.held_by_engines)},
             {"fill", round_to_hundredths(workspace.status.share_used)},
             {"ahead", round_to_hundredths(workspace.status.excess_ratio)}};
 }
@@ -91,6 +93,8 @@
                               {"capacity", round_to_integer(basis.capacity)},
                               {"asked", round_to_integer(basis.total.demanded)},
                               {"served", round_to_integer(basis.total.served)},
+                              {"refused", round_to_integer(basis.total.refused)},
+                              {"held_by_engines", round_to_integer(basis.total.held_by_engines)},
                               {"slots", engines.slots},
                               {"running", engines.running},
                               {"waiting", core_.wait_queue.size()},
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -29,6 +29,11 @@
     return code == 408 || code == 421 || code == 429 || code == 503;
 }
 
+bool found_no_place(std::string_view reason)
+{
+    return reason == "waited" || reason == "no_place";
+}
+
 }  // namespace
 
 void request_session::deliver(const attempt& current)
@@ -86,12 +91,18 @@
 
 void request_session::reject(std::string_view reason)
 {
+    const auto share = share_status();
     if (service_->engine)
     {
+        const bool by_engines = found_no_place(reason) && share.share_used < 1;
         core_.refused_requests.add(mark(), core_.now());
+        core_.shares.record_refused(workspace_id_, share_tokens(),
+                                    by_engines ? routing::refusal_cause::engines
+                                               : routing::refusal_cause::other,
+                                    core_.now());
     }
     const auto retry_after =
-        std::min(routing::retry_after(*route_, share_status().share_used, core_.random_unit()),
+        std::min(routing::retry_after(*route_, share.share_used, core_.random_unit()),
                  std::max(milliseconds(0), time_left() / 3));
     answer(http::status::service_unavailable, reason, retry_after);
 }
@@ -173,8 +184,7 @@
     {
         line["upstream"] = tried_.back().str();
     }
-    const bool found_no_place = reason == "waited" || reason == "no_place";
-    if (found_no_place)
+    if (found_no_place(reason))
     {
         line["held_by"] = has_place_within_share() ? "share" : "engines";
     }
--- a/src/libcaraway/routing/digest.cpp
+++ b/src/libcaraway/routing/digest.cpp
@@ -44,8 +44,14 @@
     auto out = json::array();
     for (const auto& [id, usage] : usages)
     {
-        out.push_back({id.str(), static_cast<std::uint64_t>(usage.demanded),
-                       static_cast<std::uint64_t>(usage.served)});
+        auto entry = json::array({id.str(), static_cast<std::uint64_t>(usage.demanded),
+                                  static_cast<std::uint64_t>(usage.served)});
+        if (usage.refused > 0)
+        {
+            entry.push_back(static_cast<std::uint64_t>(usage.refused));
+            entry.push_back(static_cast<std::uint64_t>(usage.held_by_engines));
+        }
+        out.push_back(std::move(entry));
     }
     return out;
 }
@@ -55,8 +61,15 @@
     workspace_usages usages;
     for (const auto& each : encoded)
     {
-        usages[base::workspace_id(each.at(0).get<std::string>())] = {
-            .demanded = each.at(1).get<double>(), .served = each.at(2).get<double>()};
+        workspace_usage usage{.demanded = each.at(1).get<double>(),
+                              .served = each.at(2).get<double>()};
+        const bool has_refusals = each.size() > 4;
+        if (has_refusals)
+        {
+            usage.refused = each.at(3).get<double>();
+            usage.held_by_engines = each.at(4).get<double>();
+        }
+        usages[base::workspace_id(each.at(0).get<std::string>())] = usage;
     }
     return usages;
 }
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -32,6 +32,15 @@
 
 }  // namespace
 
+workspace_usage& workspace_usage::operator+=(const workspace_usage& other)
+{
+    demanded += other.demanded;
+    served += other.served;
+    refused += other.refused;
+    held_by_engines += other.held_by_engines;
+    return *this;
+}
+
 workspace_shares::workspace_shares(share_options options) : options_(options) {}
 
 void workspace_shares::set_capacity(double tokens_per_second)
@@ -73,6 +82,15 @@
     usage.served = std::max(0.0, usage.served - tokens);
 }
 
+void workspace_shares::record_refused(const base::workspace_id& id, double tokens,
+                                      refusal_cause cause, base::time_point now)
+{
+    const double held = cause == refusal_cause::engines ? tokens : 0;
+    const workspace_usage refusal{.refused = tokens, .held_by_engines = held};
+    current_bucket(id, now) += refusal;
+    fleet_usage_[id] += refusal;
+}
+
 void workspace_shares::set_peer(const base::node_id& peer, workspace_usages usages,
                                 base::time_point now)
 {
@@ -168,8 +186,7 @@
                         .min_backlogged_served = min_backlogged_served_};
     for (const auto& [id, usage] : fleet_usage_)
     {
-        summary.total.demanded += usage.demanded;
-        summary.total.served += usage.served;
+        summary.total += usage;
     }
     base::duration total_age{};
     for (const auto& [peer, known] : peers_)
@@ -204,12 +221,18 @@
 
 workspace_usage workspace_shares::window_total(sliding_window& counts, base::time_point now) const
 {
-    advance(counts, bucket_number(now));
+    const auto newest = bucket_number(now);
+    advance(counts, newest);
     workspace_usage total;
-    for (const auto& bucket : counts.buckets)
+    for (std::size_t age = 0; age < bucket_count; ++age)
     {
-        total.demanded += bucket.demanded;
-        total.served += bucket.served;
+        auto bucket = counts.buckets[(static_cast<std::size_t>(newest) - age) % bucket_count];
+        if (age >= refusal_buckets)
+        {
+            bucket.refused = 0;
+            bucket.held_by_engines = 0;
+        }
+        total += bucket;
     }
     total.served = std::max(0.0, total.served);
     return total;
@@ -236,8 +259,7 @@
     {
         for (const auto& [id, usage] : known.usages)
         {
-            fleet_usage_[id].demanded += usage.demanded;
-            fleet_usage_[id].served += usage.served;
+            fleet_usage_[id] += usage;
         }
     }
     std::vector<double> demands;
--- a/src/libcaraway/routing/workspace_shares.hpp
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -18,6 +18,21 @@
     double demanded = 0;
     /// Requests that were sent to engines.
     double served = 0;
+    /// Requests that were refused within the last second or so, rather than within the window.
+    double refused = 0;
+    /// Those of them that no engine had a place for on the terms of a workspace within its share.
+    double held_by_engines = 0;
+
+    workspace_usage& operator+=(const workspace_usage& other);
+};
+
+/// What kept a refused request from being placed.
+enum class refusal_cause
+{
+    /// No engine had a place on the terms of a workspace within its share.
+    engines,
+    /// The terms of a workspace beyond its share, or the router.
+    other,
 };
 
 /// How a workspace's service compares with its fair share and with other backlogged workspaces.
@@ -94,6 +109,10 @@
     /// upstream failed.
     void retract_served(const base::workspace_id& id, double tokens, base::time_point now);
 
+    /// Records a request that was refused and may come back.
+    void record_refused(const base::workspace_id& id, double tokens, refusal_cause cause,
+                        base::time_point now);
+
     void set_peer(const base::node_id& peer, workspace_usages usages, base::time_point now);
     /// This router's counts, for its digest.
     workspace_usages own_usages(base::time_point now);
@@ -119,6 +138,9 @@
 private:
     /// The window is dropped in buckets, so a count is at most an eighth of the window too old.
     static constexpr std::size_t bucket_count = 8;
+    /// Buckets in which refusals count: 1 to 1.5 s of a window of 4 s. A workspace that waits is
+    /// refused once a second or more often; one that was refused earlier may be served by now.
+    static constexpr std::size_t refusal_buckets = 3;
 
     struct sliding_window
     {
--- a/tests/routing/test_workspace_shares.cpp
+++ b/tests/routing/test_workspace_shares.cpp
@@ -213,4 +213,20 @@
     BOOST_TEST(shares.own_usages(now + 4200ms)[large].served == 0.0);
 }
 
+BOOST_AUTO_TEST_CASE(refusals_count_for_a_second_and_leave_before_the_window)
+{
+    auto shares = make_shares();
+    shares.record_demand(large, 3000, now);
+    shares.record_refused(large, 1000, routing::refusal_cause::engines, now);
+    shares.record_refused(large, 2000, routing::refusal_cause::other, now);
+
+    const auto at_once = shares.own_usages(now + 1000ms)[large];
+    BOOST_TEST(at_once.refused == 3000.0);
+    BOOST_TEST(at_once.held_by_engines == 1000.0);
+    const auto later = shares.own_usages(now + 1500ms)[large];
+    BOOST_TEST(later.refused == 0.0);
+    BOOST_TEST(later.held_by_engines == 0.0);
+    BOOST_TEST(later.demanded == 3000.0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
