Tests: shares across routers, red where engines do less or more than the settings say

A model plays routers that share engines by the real decisions in virtual time and judges what callers see by the FAIR rule and by slots idle while requests wait (below 0.02).

--- /dev/null
+++ b/tests/shares/shares_model.cpp
@@ -0,0 +1,385 @@
+#include "shares_model.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace caraway::tests
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+constexpr milliseconds step_length{5};
+const base::time_point start_time(1h);
+const routing::route model_route{.latency_target = 500ms};
+/// Seconds that the FAIR rule looks at, and requests that it allows for.
+constexpr int fair_seconds = 6;
+constexpr double fair_slack_requests = 3;
+/// A caller that was refused comes back or sends another request within this time.
+constexpr milliseconds refusal_memory{200};
+
+}  // namespace
+
+shares_model::shares_model(shares_model_options options, std::vector<demand> demands)
+    : options_(options), demands_(std::move(demands)), arrivals_due_(demands_.size()),
+      processor_credits_(demands_.size()), next_router_(demands_.size()),
+      routers_(static_cast<std::size_t>(options.routers)),
+      engines_(static_cast<std::size_t>(options.engines)), now_(start_time)
+{
+    for (auto& router : routers_)
+    {
+        router.shares.set_capacity(options_.configured_tokens_per_second);
+    }
+    for (std::size_t source = 0; source < demands_.size(); ++source)
+    {
+        // Workspaces at a part of the routers use different ones.
+        next_router_[source] = static_cast<int>(source) * 3;
+    }
+}
+
+void shares_model::set_service_time(milliseconds time)
+{
+    options_.service_time = time;
+}
+
+void shares_model::run_until(milliseconds end)
+{
+    while (now_ < start_time + end)
+    {
+        step();
+    }
+}
+
+void shares_model::step()
+{
+    now_ += step_length;
+    end_requests();
+    send_digests();
+    arrive();
+    for (auto& router : routers_)
+    {
+        expire(router);
+    }
+    count_idle();
+}
+
+void shares_model::end_requests()
+{
+    std::set<int> freed;
+    for (std::size_t index = 0; index < engines_.size(); ++index)
+    {
+        auto& engine = engines_[index];
+        while (!engine.running.empty() && engine.running.begin()->first <= now_)
+        {
+            const int router = engine.running.begin()->second;
+            engine.running.erase(engine.running.begin());
+            routers_[static_cast<std::size_t>(router)].loads.record_end(
+                engine_name(static_cast<int>(index)), {.running = 1});
+            freed.insert(router);
+            if (!engine.queued.empty())
+            {
+                engine.running.emplace(now_ + next_service_time(), engine.queued.front());
+                engine.queued.pop_front();
+            }
+        }
+    }
+    for (const int router : freed)
+    {
+        dispatch(routers_[static_cast<std::size_t>(router)]);
+    }
+}
+
+void shares_model::arrive()
+{
+    for (std::size_t source = 0; source < demands_.size(); ++source)
+    {
+        const auto& from = demands_[source];
+        const auto elapsed = std::chrono::duration_cast<milliseconds>(now_ - start_time);
+        const auto rate = std::prev(from.rates.upper_bound(elapsed))->second;
+        const double seconds = std::chrono::duration<double>(step_length).count();
+        arrivals_due_[source] += rate * seconds;
+        auto& processor = processor_credits_[source];
+        processor = std::min(processor + from.processor_limit * seconds, from.processor_limit);
+        while (arrivals_due_[source] >= 1)
+        {
+            arrivals_due_[source] -= 1;
+            const int offset = static_cast<int>(source) * 3;
+            next_router_[source] =
+                offset + (next_router_[source] - offset + 1) % std::max(1, from.routers);
+            current_usage(source).asked += options_.tokens_per_request;
+            receive({.source = source,
+                     .router = next_router_[source] % options_.routers,
+                     .arrived = now_});
+        }
+    }
+    while (!returning_.empty() && returning_.begin()->first <= now_)
+    {
+        auto returned = returning_.begin()->second;
+        returning_.erase(returning_.begin());
+        returned.arrived = now_;
+        returned.resubmitted = true;
+        receive(returned);
+    }
+}
+
+void shares_model::receive(const request& arrival)
+{
+    auto& router = routers_[static_cast<std::size_t>(arrival.router)];
+    const auto id = workspace(arrival.source);
+    router.shares.record_demand(id, options_.tokens_per_request, now_);
+    auto& processor = processor_credits_[arrival.source];
+    if (processor < 1)
+    {
+        refuse(arrival, false);
+        return;
+    }
+    processor -= 1;
+    if (place(arrival))
+    {
+        return;
+    }
+    const auto terms =
+        routing::admit(model_route, router.shares.status(id, arrival.resubmitted, now_));
+    const auto wait = router.queue.add({.workspace = id,
+                                        .resubmitted = arrival.resubmitted,
+                                        .arrived = now_,
+                                        .expires = now_ + terms.max_queue_time});
+    router.waiting[wait] = arrival;
+}
+
+bool shares_model::place(const request& candidate)
+{
+    auto& router = routers_[static_cast<std::size_t>(candidate.router)];
+    const auto id = workspace(candidate.source);
+    const auto terms =
+        routing::admit(model_route, router.shares.status(id, candidate.resubmitted, now_));
+    if (terms.blocked)
+    {
+        return false;
+    }
+    const double limit = std::max(1.0, std::floor(terms.slot_share * options_.slots));
+    int chosen = -1;
+    std::uint32_t least = 0;
+    const int first = static_cast<int>(next_random() * options_.engines);
+    for (int step = 0; step < options_.engines; ++step)
+    {
+        const int engine = (first + step) % options_.engines;
+        const auto running = router.loads.total(engine_name(engine)).running;
+        if (running < limit && (chosen < 0 || running < least))
+        {
+            chosen = engine;
+            least = running;
+        }
+    }
+    if (chosen < 0)
+    {
+        return false;
+    }
+    router.shares.record_served(id, options_.tokens_per_request, now_);
+    current_usage(candidate.source).begun += options_.tokens_per_request;
+    start(chosen, candidate.router);
+    return true;
+}
+
+void shares_model::start(int engine, int router)
+{
+    auto& state = engines_[static_cast<std::size_t>(engine)];
+    routers_[static_cast<std::size_t>(router)].loads.record_start(engine_name(engine),
+                                                                  {.running = 1});
+    if (state.running.size() < static_cast<std::size_t>(options_.slots))
+    {
+        state.running.emplace(now_ + next_service_time(), router);
+    }
+    else
+    {
+        state.queued.push_back(router);
+    }
+}
+
+void shares_model::dispatch(router_state& router)
+{
+    const auto order =
+        router.queue.order([&](const auto& id) { return router.shares.share_used(id, now_); });
+    for (const auto id : order)
+    {
+        if (place(router.waiting.at(id)))
+        {
+            router.queue.remove(id);
+            router.waiting.erase(id);
+        }
+    }
+}
+
+void shares_model::expire(router_state& router)
+{
+    for (const auto id : router.queue.take_expired(now_))
+    {
+        const auto expired = router.waiting.at(id);
+        router.waiting.erase(id);
+        refuse(expired, true);
+    }
+}
+
+void shares_model::refuse(const request& refused, bool found_no_place)
+{
+    auto& router = routers_[static_cast<std::size_t>(refused.router)];
+    const auto id = workspace(refused.source);
+    const auto share = router.shares.status(id, refused.resubmitted, now_);
+    const bool by_engines = found_no_place && share.share_used < 1;
+    router.shares.record_refused(
+        id, options_.tokens_per_request,
+        by_engines ? routing::refusal_cause::engines : routing::refusal_cause::other, now_);
+    current_usage(refused.source).waited = true;
+    last_refusal_ = now_;
+    if (!refused.resubmitted)
+    {
+        returning_.emplace(
+            now_ + routing::retry_after(model_route, share.share_used, next_random()), refused);
+    }
+}
+
+void shares_model::send_digests()
+{
+    const auto elapsed = (now_ - start_time) / step_length;
+    const auto period = options_.digest_period / step_length;
+    for (int sender = 0; sender < options_.routers; ++sender)
+    {
+        if ((elapsed + sender) % period != 0)
+        {
+            continue;
+        }
+        auto& from = routers_[static_cast<std::size_t>(sender)];
+        dispatch(from);
+        const auto usages = from.shares.own_usages(now_);
+        for (int receiver = 0; receiver < options_.routers; ++receiver)
+        {
+            if (receiver == sender)
+            {
+                continue;
+            }
+            auto& to = routers_[static_cast<std::size_t>(receiver)];
+            to.shares.set_peer(router_name(sender), usages, now_);
+            to.loads.set_peer(router_name(sender), from.loads.own_loads(), now_);
+        }
+    }
+}
+
+void shares_model::count_idle()
+{
+    const auto second = static_cast<std::size_t>((now_ - start_time) / 1s);
+    idle_.resize(std::max(idle_.size(), second + 1));
+    const bool anybody_waits =
+        now_ < last_refusal_ + refusal_memory ||
+        std::any_of(routers_.begin(), routers_.end(),
+                    [](const auto& router) { return router.queue.size() > 0; });
+    if (!anybody_waits)
+    {
+        return;
+    }
+    double running = 0;
+    for (const auto& engine : engines_)
+    {
+        running += static_cast<double>(engine.running.size());
+    }
+    const double steps_per_second = 1s / step_length;
+    idle_[second] += (1 - running / (options_.engines * options_.slots)) / steps_per_second;
+}
+
+double shares_model::fairness(const std::string& workspace, int from) const
+{
+    double owed = 0;
+    double begun = 0;
+    for (int second = from; second < from + fair_seconds; ++second)
+    {
+        const auto& own = usage(workspace, second);
+        if (!own.waited)
+        {
+            return std::numeric_limits<double>::infinity();
+        }
+        double best = 0;
+        for (const auto& [unused, seconds] : usages_)
+        {
+            best = std::max(best, seconds.at(static_cast<std::size_t>(second)).begun);
+        }
+        owed += std::min(own.asked, best) / 2;
+        begun += own.begun;
+    }
+    owed -= fair_slack_requests * options_.tokens_per_request;
+    return owed <= 0 ? std::numeric_limits<double>::infinity() : begun / owed;
+}
+
+double shares_model::worst_fairness(int end) const
+{
+    double worst = std::numeric_limits<double>::infinity();
+    for (int from = 0; from + fair_seconds <= end; ++from)
+    {
+        for (const auto& each : demands_)
+        {
+            worst = std::min(worst, fairness(each.workspace, from));
+        }
+    }
+    return worst;
+}
+
+double shares_model::idle_while_waiting(int from, int end) const
+{
+    double sum = 0;
+    for (int second = from; second < end; ++second)
+    {
+        sum += idle_.at(static_cast<std::size_t>(second));
+    }
+    return sum / (end - from);
+}
+
+const second_usage& shares_model::usage(const std::string& workspace, int second) const
+{
+    static const second_usage none;
+    const auto& seconds = usages_.at(workspace);
+    return static_cast<std::size_t>(second) < seconds.size()
+               ? seconds[static_cast<std::size_t>(second)]
+               : none;
+}
+
+base::workspace_id shares_model::workspace(std::size_t source) const
+{
+    return base::workspace_id(demands_[source].workspace);
+}
+
+second_usage& shares_model::current_usage(std::size_t source)
+{
+    const auto second = static_cast<std::size_t>((now_ - start_time) / 1s);
+    for (const auto& each : demands_)
+    {
+        auto& seconds = usages_[each.workspace];
+        seconds.resize(std::max(seconds.size(), second + 1));
+    }
+    return usages_[demands_[source].workspace][second];
+}
+
+base::node_id shares_model::router_name(int index) const
+{
+    return base::node_id("r" + std::to_string(index));
+}
+
+base::upstream_id shares_model::engine_name(int index) const
+{
+    return base::upstream_id("e" + std::to_string(index));
+}
+
+milliseconds shares_model::next_service_time()
+{
+    const auto mean = static_cast<double>(options_.service_time.count());
+    return milliseconds(static_cast<std::int64_t>(mean * (0.5 + next_random())));
+}
+
+double shares_model::next_random()
+{
+    random_state_ = random_state_ * 1664525U + 1013904223U;
+    return random_state_ / 4294967296.0;
+}
+
+}  // namespace caraway::tests
--- /dev/null
+++ b/tests/shares/shares_model.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "libcaraway/routing/admission.hpp"
+#include "libcaraway/routing/load_tracker.hpp"
+#include "libcaraway/routing/wait_queue.hpp"
+#include "libcaraway/routing/workspace_shares.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace caraway::tests
+{
+
+/// Routers that share engines by the real decisions, in virtual time.
+struct shares_model_options
+{
+    int routers = 15;
+    int engines = 24;
+    int slots = 16;
+    /// Mean time that a request occupies a slot; each takes 0.5 to 1.5 of it.
+    std::chrono::milliseconds service_time{2000};
+    double tokens_per_request = 6000;
+    double configured_tokens_per_second = 2e6;
+    std::chrono::milliseconds digest_period{100};
+};
+
+/// Fresh requests of one workspace, spread evenly over its routers.
+struct demand
+{
+    std::string workspace;
+    int routers = 1;
+    /// Requests per second from a time on, until the next such time.
+    std::map<std::chrono::milliseconds, double> rates;
+    /// Requests per second that its VMs have processor time for; the rest is refused at once.
+    double processor_limit = 1e9;
+};
+
+/// Tokens of one workspace in one second, as its callers see them.
+struct second_usage
+{
+    double asked = 0;
+    double begun = 0;
+    bool waited = false;
+};
+
+class shares_model
+{
+public:
+    shares_model(shares_model_options options, std::vector<demand> demands);
+
+    /// Changes the time that requests occupy a slot from now on.
+    void set_service_time(std::chrono::milliseconds time);
+    void run_until(std::chrono::milliseconds end);
+
+    /// What a workspace got in the six seconds from `from`, divided by what the FAIR rule owes it:
+    /// half of what it asked or of what the best served one got, second by second, less three
+    /// requests. Infinite if nothing is owed, as it did not wait in each second.
+    double fairness(const std::string& workspace, int from) const;
+    /// The lowest fairness of any workspace in any six seconds that end by `end`.
+    double worst_fairness(int end) const;
+    /// Slot time idle while requests waited or were refused, as a fraction of all slot time between
+    /// two times in seconds.
+    double idle_while_waiting(int from, int end) const;
+    const second_usage& usage(const std::string& workspace, int second) const;
+
+private:
+    struct request
+    {
+        std::size_t source = 0;
+        int router = 0;
+        base::time_point arrived{};
+        bool resubmitted = false;
+    };
+
+    struct router_state
+    {
+        routing::workspace_shares shares;
+        routing::load_tracker loads;
+        routing::wait_queue queue;
+        std::map<routing::wait_id, request> waiting;
+    };
+
+    struct engine_state
+    {
+        std::multimap<base::time_point, int> running;
+        std::deque<int> queued;
+    };
+
+    void step();
+    void end_requests();
+    void arrive();
+    void receive(const request& arrival);
+    bool place(const request& candidate);
+    void start(int engine, int router);
+    void dispatch(router_state& router);
+    void expire(router_state& router);
+    void refuse(const request& refused, bool found_no_place);
+    void send_digests();
+    void count_idle();
+    base::workspace_id workspace(std::size_t source) const;
+    second_usage& current_usage(std::size_t source);
+    base::node_id router_name(int index) const;
+    base::upstream_id engine_name(int index) const;
+    std::chrono::milliseconds next_service_time();
+    double next_random();
+
+    shares_model_options options_;
+    std::vector<demand> demands_;
+    std::vector<double> arrivals_due_;
+    std::vector<double> processor_credits_;
+    std::vector<int> next_router_;
+    std::vector<router_state> routers_;
+    std::vector<engine_state> engines_;
+    std::multimap<base::time_point, request> returning_;
+    base::time_point now_;
+    base::time_point last_refusal_{};
+    std::uint32_t random_state_ = 1;
+    std::map<std::string, std::vector<second_usage>> usages_;
+    /// Idle slot time while requests waited, as a fraction of all slot time, by second.
+    std::vector<double> idle_;
+};
+
+}  // namespace caraway::tests
