Shares: a workspace that waits no longer isn't what the others are measured against

Cause: backlogged is judged by sums of four seconds; a workspace that flooded until then, asks little now and gets it, stays the least served one for seconds and blocks all others at 1.6 times its tokens. Change: the reference is the least served backlogged workspace with refusals within the last second, more than the eight in a hundred that backlogged allows. Whether anybody is backlogged at all, and so the terms beyond a share, is judged as before.

--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -286,7 +286,7 @@
     min_backlogged_served_ = std::numeric_limits<double>::infinity();
     for (const auto& [id, usage] : fleet_usage_)
     {
-        if (is_backlogged(usage) && usage.demanded > even_share_)
+        if (is_waiting(usage) && usage.demanded > even_share_)
         {
             min_backlogged_served_ = std::min(min_backlogged_served_, std::max(usage.served, 1.0));
         }
@@ -307,4 +307,10 @@
     return usage.served < options_.backlogged_below * usage.demanded;
 }
 
+bool workspace_shares::is_waiting(const workspace_usage& usage) const
+{
+    const double tolerated = 1 - options_.backlogged_below;
+    return is_backlogged(usage) && usage.refused > tolerated * refusal_span * usage.demanded;
+}
+
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/workspace_shares.hpp
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -85,8 +85,8 @@
     double even_share = 0;
     /// Some workspace is served less than it demands.
     bool backlogged = false;
-    /// Fewest tokens served to a backlogged workspace that demands more than its share; infinite if
-    /// there is none.
+    /// Fewest tokens served to a backlogged workspace that still waits and demands more than its
+    /// share; infinite if there is none.
     double min_backlogged_served = 0;
     /// Time since the other routers' counts were received.
     std::chrono::milliseconds mean_age{};
@@ -185,6 +185,8 @@
     void allocate(base::time_point now);
     void update_reserve(const workspace_usage& total, base::duration elapsed);
     bool is_backlogged(const workspace_usage& usage) const;
+    /// Whether a backlogged workspace still waits, rather than having waited within the window.
+    bool is_waiting(const workspace_usage& usage) const;
     double excess_over_backlogged(const base::workspace_id& id) const;
 
     struct peer_usages
--- a/tests/routing/test_workspace_shares.cpp
+++ b/tests/routing/test_workspace_shares.cpp
@@ -259,6 +259,17 @@
                shares.status(large, false, now + 1ms).largest_used());
 }
 
+BOOST_AUTO_TEST_CASE(a_workspace_that_waits_no_longer_does_not_hold_the_others)
+{
+    auto shares = make_shares_with(1e6, {{.id = large, .demanded = 9e6, .served = 1.7e6},
+                                         {.id = third, .demanded = 5e6, .served = 0.6e6}});
+    BOOST_TEST(open_slots(shares, large) == 0);
+
+    shares.record_refused(large, 3e6, routing::refusal_cause::other, now + 1500ms);
+
+    BOOST_TEST(shares.status(large, false, now + 1501ms).excess_ratio == 1);
+}
+
 BOOST_AUTO_TEST_CASE(the_first_request_of_a_fleet_has_the_terms_of_a_workspace_within_its_share)
 {
     auto shares = make_shares();
