--- a/tests/share_waves/test_share_waves.cpp
+++ b/tests/share_waves/test_share_waves.cpp
@@ -11,6 +11,7 @@
 BOOST_AUTO_TEST_CASE(a_flood_that_comes_in_waves_does_not_starve_a_flood_at_one_router)
 {
     std::vector<tests::demand> demands;
+    demands.reserve(10);
     for (int index = 0; index < 8; ++index)
     {
         demands.push_back(
--- a/tests/shares/test_shares_across_routers.cpp
+++ b/tests/shares/test_shares_across_routers.cpp
@@ -6,7 +6,6 @@
 using namespace std::chrono_literals;
 using tests::demand;
 using tests::shares_model;
-using tests::shares_model_options;
 
 namespace
 {
@@ -15,6 +14,7 @@
 std::vector<demand> background(double rate)
 {
     std::vector<demand> demands;
+    demands.reserve(8);
     for (int index = 0; index < 8; ++index)
     {
         demands.push_back(
