--- a/tests/share_waves/main.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-#define BOOST_TEST_MODULE share_waves
-#include <boost/test/unit_test.hpp>
--- a/tests/shares/test_shares_across_routers.cpp
+++ b/tests/shares/test_shares_across_routers.cpp
@@ -73,4 +73,18 @@
     BOOST_TEST(model.idle_while_waiting(6, 16) < 0.02);
 }
 
+// Engines take twice as long for eight seconds.
+BOOST_AUTO_TEST_CASE(engines_that_were_slow_are_used_in_full_once_they_are_well_again)
+{
+    shares_model model({.configured_tokens_per_second = 1.2e6}, two_floods(65, 260));
+    model.run_until(8s);
+    model.set_service_time(4s);
+    model.run_until(16s);
+    model.set_service_time(2s);
+    model.run_until(24s);
+
+    BOOST_TEST(model.worst_fairness(24) >= 1);
+    BOOST_TEST(model.idle_while_waiting(20, 24) < 0.02);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
