Tests: the demands that stand beside a flood are made in one place

Cause: both programs that play the model of shared engines had the same eight small workspaces; an include of the model wasn't used. Change: background() belongs to the model.

--- a/tests/share_gaps/test_share_gaps.cpp
+++ b/tests/share_gaps/test_share_gaps.cpp
@@ -5,30 +5,12 @@
 using namespace caraway;
 using namespace std::chrono_literals;
 
-namespace
-{
-
-/// Eight workspaces that ask little, at two routers each.
-std::vector<tests::demand> background(double rate)
-{
-    std::vector<tests::demand> demands;
-    demands.reserve(10);
-    for (int index = 0; index < 8; ++index)
-    {
-        demands.push_back(
-            {.workspace = "small" + std::to_string(index), .routers = 2, .rates = {{0ms, rate}}});
-    }
-    return demands;
-}
-
-}  // namespace
-
 BOOST_AUTO_TEST_SUITE(share_gaps)
 
 // All routers let a flood in at the same moment, once the counts of the window allow it again.
 BOOST_AUTO_TEST_CASE(a_flood_that_comes_in_waves_does_not_starve_a_flood_at_one_router)
 {
-    auto demands = background(6);
+    auto demands = tests::background(6);
     demands.push_back(
         {.workspace = "at_one_router", .routers = 1, .rates = {{0ms, 20}, {5000ms, 300}}});
     demands.push_back(
@@ -42,7 +24,7 @@
 // The one router has processor time for half of its flood; engines do 1.15 of 2 million tokens.
 BOOST_AUTO_TEST_CASE(a_flood_at_all_routers_does_not_starve_one_whose_processor_is_at_its_limit)
 {
-    auto demands = background(4);
+    auto demands = tests::background(4);
     demands.push_back({.workspace = "at_one_router",
                        .routers = 1,
                        .rates = {{0ms, 6.5}, {4000ms, 65}},
--- a/tests/shares/shares_model.cpp
+++ b/tests/shares/shares_model.cpp
@@ -22,8 +22,23 @@
 /// A caller that was refused comes back or sends another request within this time.
 constexpr milliseconds refusal_memory{200};
 
+/// Workspaces that ask little.
+constexpr int background_workspaces = 8;
+
 }  // namespace
 
+std::vector<demand> background(double rate)
+{
+    std::vector<demand> demands;
+    demands.reserve(background_workspaces);
+    for (int index = 0; index < background_workspaces; ++index)
+    {
+        demands.push_back(
+            {.workspace = "small" + std::to_string(index), .routers = 2, .rates = {{0ms, rate}}});
+    }
+    return demands;
+}
+
 shares_model::shares_model(shares_model_options options, std::vector<demand> demands)
     : options_(options), demands_(std::move(demands)), arrivals_due_(demands_.size()),
       processor_credits_(demands_.size()), next_router_(demands_.size()),
--- a/tests/shares/shares_model.hpp
+++ b/tests/shares/shares_model.hpp
@@ -6,7 +6,6 @@
 #include "libcaraway/routing/workspace_shares.hpp"
 
 #include <deque>
-#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -41,6 +40,9 @@
     double processor_limit = 1e9;
 };
 
+/// Eight workspaces that ask little, at two routers each; `rate` in requests per second.
+std::vector<demand> background(double rate);
+
 /// Tokens of one workspace in one second, as its callers see them.
 struct second_usage
 {
--- a/tests/shares/test_shares_across_routers.cpp
+++ b/tests/shares/test_shares_across_routers.cpp
@@ -4,25 +4,13 @@
 
 using namespace caraway;
 using namespace std::chrono_literals;
+using tests::background;
 using tests::demand;
 using tests::shares_model;
 
 namespace
 {
 
-/// Eight workspaces that ask little, at two routers each.
-std::vector<demand> background(double rate)
-{
-    std::vector<demand> demands;
-    demands.reserve(8);
-    for (int index = 0; index < 8; ++index)
-    {
-        demands.push_back(
-            {.workspace = "small" + std::to_string(index), .routers = 2, .rates = {{0ms, rate}}});
-    }
-    return demands;
-}
-
 /// A workspace whose callers come in at one router floods from the sixth second on, when one at all
 /// routers has flooded since the third.
 std::vector<demand> two_floods(double at_one_router, double at_all_routers)
