Health, Router: a refusal that asks for rest is seen, logged and counted

Nothing told which refusals of upstreams ask for rest, nor for how long, so a request sent within that time looked like any other refused attempt. No decision uses them yet.

--- a/cmake/router.cmake
+++ b/cmake/router.cmake
@@ -8,6 +8,7 @@
 list(APPEND router_sources
     ${lib}/attempts/crash_detector.cpp ${lib}/attempts/crash_suspects.cpp
     ${lib}/base/error.cpp ${lib}/scheduling/stable_hash.cpp ${lib}/scheduling/upstream_health.cpp
+    ${lib}/scheduling/upstream_rests.cpp
     ${lib}/scheduling/actions.cpp ${lib}/metrics/registry.cpp ${lib}/metrics/histogram.cpp
     ${lib}/metrics/prometheus_format.cpp)
 
--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -236,6 +236,14 @@
     log_crash(crashes.record_unreachable(id, now()));
 }
 
+void core::record_rest(const base::upstream_id& id, std::chrono::milliseconds rest)
+{
+    log.request_line("upstream_rest", {{"upstream", id.str()},
+                                       {"rest_ms", rest.count()},
+                                       {"left_ms", health.rest_left(id, now()).count()}});
+    health.record_rest(id, rest, now());
+}
+
 void core::record_restart(const base::upstream_id& id, std::chrono::milliseconds process_start)
 {
     log.line("upstream_restarted", {{"upstream", id.str()}, {"born", process_start.count()}});
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -93,6 +93,8 @@
     void record_lost_connection(const base::upstream_id& id, attempts::request_fingerprint request);
     /// No connection to the upstream could be opened.
     void record_unreachable(const base::upstream_id& id);
+    /// An upstream answered a request with a rest: it wants nothing from this router for `rest`.
+    void record_rest(const base::upstream_id& id, std::chrono::milliseconds rest);
     /// A new process runs under the upstream's id. `process_start` is its start time since the Unix
     /// epoch by the upstream's clock.
     void record_restart(const base::upstream_id& id, std::chrono::milliseconds process_start);
@@ -142,6 +144,8 @@
     std::uint64_t chunks_relayed = 0;
     /// Requests rejected because the router's CPU is overloaded.
     std::uint64_t overload_rejections = 0;
+    /// Requests sent to upstreams during a rest that they had asked for.
+    std::uint64_t requests_during_rest = 0;
     /// Set on SIGTERM or SIGINT: new requests are rejected from this time on.
     std::optional<base::time_point> reject_from;
 
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -195,6 +195,7 @@
     }
     drop_expired_upstreams(now);
     update_warmups(now);
+    core_.health.expire_rests(now);
     core_.expire_waiting();
     core_.dispatch_waiting();
     choose_table_source(now);
--- a/src/libcaraway/router/daemon_answers.cpp
+++ b/src/libcaraway/router/daemon_answers.cpp
@@ -126,6 +126,12 @@
     set_gauge("caraway_upstreams", "Upstreams known.", static_cast<double>(core_.directory.size()));
     set_gauge("caraway_upstreams_cold", "Upstreams believed to be cold.",
               static_cast<double>(core_.slow_start.size()));
+    set_gauge("caraway_upstreams_resting",
+              "Upstreams that refused a request and asked this router to send nothing for a time.",
+              static_cast<double>(core_.health.resting_count()));
+    set_gauge("caraway_requests_during_rest",
+              "Requests sent to upstreams during a rest that they had asked for, in total.",
+              static_cast<double>(core_.requests_during_rest));
     set_gauge("caraway_zones_drained",
               "Drained availability zones: upstreams there get nothing new.",
               static_cast<double>(core_.directory.zones().drained_count()));
@@ -167,6 +173,7 @@
                              {"zone_drained", core_.directory.zones().contains(upstream.zone)},
                              {"cold", core_.slow_start.is_cold(id, now)},
                              {"ejected", core_.health.ejected(id, now)},
+                             {"rest_left_ms", core_.health.rest_left(id, now).count()},
                              {"running", load.running},
                              {"unread_tokens", load.pending_prefill_tokens}});
     }
--- a/src/libcaraway/router/ports.hpp
+++ b/src/libcaraway/router/ports.hpp
@@ -40,6 +40,10 @@
     bool not_run = false;
     /// Another instance now has the address; the request was not run.
     bool other_instance = false;
+    /// The upstream refuses and wants no requests from this router for this time.
+    std::optional<std::chrono::milliseconds> requested_rest;
+    /// The upstream is shutting down.
+    bool leaving = false;
 };
 
 /// Translates between callers' requests, the router's types and the protocol of upstreams.
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -81,6 +81,8 @@
     attempt_->placement = std::move(placement);
     core_.track_in_flight(id, *this);
     attempt_->sent_at = now;
+    attempt_->rest_left = core_.health.rest_left(id, now);
+    core_.requests_during_rest += attempt_->rest_left.count() > 0 ? 1 : 0;
     attempt_->connection = core_.pool.acquire(id);
     forward_options forwarding{.instance = id,
                                .time_left = time_left(),
@@ -123,6 +125,10 @@
 {
     current.head = head;
     current.metadata = core_.protocol.parse_answer(head);
+    if (const auto rest = current.metadata.requested_rest)
+    {
+        core_.record_rest(current.placement.target.id, *rest);
+    }
     const bool success = head.result_int() >= 200 && head.result_int() < 300;
     current.is_stream = success && current.metadata.verified && route_->streaming &&
                         view(head[http::field::content_type]).starts_with("text/event-stream");
@@ -314,6 +320,7 @@
                                 {"end", routing::name(outcome)},
                                 {"status", last->head ? last->head->result_int() : 0},
                                 {"took_ms", to_milliseconds(core_.now() - last->sent_at).count()},
+                                {"rest_left_ms", last->rest_left.count()},
                                 {"next", routing::name(step)}});
     }
     switch (step)
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -31,6 +31,8 @@
         routing::placement placement;
         std::shared_ptr<http::client_connection> connection;
         base::time_point sent_at{};
+        /// Time left when the request was sent of a rest that the upstream had asked for.
+        std::chrono::milliseconds rest_left{};
         std::optional<http::response_head> head;
         answer_metadata metadata;
         std::string body;
--- a/src/libcaraway/scheduling/upstream_health.hpp
+++ b/src/libcaraway/scheduling/upstream_health.hpp
@@ -4,6 +4,7 @@
 #include "libcaraway/base/ids.hpp"
 #include "libcaraway/scheduling/actions.hpp"
 #include "libcaraway/scheduling/options.hpp"
+#include "libcaraway/scheduling/upstream_rests.hpp"
 
 #include <map>
 #include <optional>
@@ -25,6 +26,27 @@
     bool record_result(const base::upstream_id& upstream, attempt_result result,
                        const std::vector<base::upstream_id>& peers, base::time_point now);
 
+    /// The upstream refused a request and asked this router to send nothing for a time.
+    void record_rest(const base::upstream_id& upstream, std::chrono::milliseconds rest,
+                     base::time_point now)
+    {
+        rests_.record(upstream, rest, now);
+    }
+    /// 0 if the upstream isn't resting.
+    std::chrono::milliseconds rest_left(const base::upstream_id& upstream,
+                                        base::time_point now) const
+    {
+        return rests_.time_left(upstream, now);
+    }
+    void expire_rests(base::time_point now)
+    {
+        rests_.expire(now);
+    }
+    std::size_t resting_count() const
+    {
+        return rests_.size();
+    }
+
     bool ejected(const base::upstream_id& upstream, base::time_point now) const;
     /// Whether one more request may be sent to `upstream` while this router runs `held` requests
     /// there.
@@ -37,6 +59,7 @@
     void discard(const base::upstream_id& upstream)
     {
         records_.erase(upstream);
+        rests_.forget(upstream);
     }
     void retain(const std::vector<base::upstream_id>& upstreams);
 
@@ -53,6 +76,7 @@
 
     const scheduler_options& options_;
     std::map<base::upstream_id, record> records_;
+    upstream_rests rests_;
 };
 
 }  // namespace caraway::scheduling
--- a/tests/users_platform/stand_in_runner.cpp
+++ b/tests/users_platform/stand_in_runner.cpp
@@ -60,12 +60,16 @@
     current.exchange->respond(head_for(current, 500), "failed");
 }
 
-void stand_in_runner::reject(const run& current, unsigned code)
+void stand_in_runner::reject(const run& current, unsigned code, const std::string& retry_after)
 {
     auto head = http::make_response(http::status::service_unavailable);
     head.result(code);
     head.set("X-Not-Executed", "1");
     head.set("X-Request-Id", current.id);
+    if (!retry_after.empty())
+    {
+        head.set("Retry-After", retry_after);
+    }
     current.exchange->respond(std::move(head), {});
 }
 
--- a/tests/users_platform/stand_in_runner.hpp
+++ b/tests/users_platform/stand_in_runner.hpp
@@ -52,7 +52,8 @@
     void begin_stream(const run& current);
     void send_event(const run& current, int id);
     void fail(const run& current);
-    void reject(const run& current, unsigned code = 503);
+    /// `retry_after` is sent as Retry-After unless it is empty.
+    void reject(const run& current, unsigned code = 503, const std::string& retry_after = {});
     void stop_listening();
 
 private:
