Health, Router: an upstream that asks for rest gets nothing for that time

Cause: Retry-After of an upstream was not read; a refusal ejected it for 200 ms whatever it asked, a stream of it that ended well erased even that, and beyond half of a service nothing was ejected.

A rest is now kept apart from failures: results of other requests and the number of ejected upstreams don't bear on it. After it one request goes as a trial. Where all upstreams of a service rest for longer than a request may wait, it is refused at once with the time left; a shorter rest is waited for.

--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -242,6 +242,7 @@
                                        {"rest_ms", rest.count()},
                                        {"left_ms", health.rest_left(id, now()).count()}});
     health.record_rest(id, rest, now());
+    timers.after(rest, [this] { dispatch_waiting(); });
 }
 
 void core::record_restart(const base::upstream_id& id, std::chrono::milliseconds process_start)
--- a/src/libcaraway/router/daemon_answers.cpp
+++ b/src/libcaraway/router/daemon_answers.cpp
@@ -128,7 +128,7 @@
               static_cast<double>(core_.slow_start.size()));
     set_gauge("caraway_upstreams_resting",
               "Upstreams that refused a request and asked this router to send nothing for a time.",
-              static_cast<double>(core_.health.resting_count()));
+              static_cast<double>(core_.health.resting_count(core_.now())));
     set_gauge("caraway_requests_during_rest",
               "Requests sent to upstreams during a rest that they had asked for, in total.",
               static_cast<double>(core_.requests_during_rest));
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -35,8 +35,13 @@
     return attempt_outcome::unknown;
 }
 
-scheduling::attempt_result health_result_of(attempt_outcome outcome)
+scheduling::attempt_result health_result_of(attempt_outcome outcome, bool rest_requested)
 {
+    if (rest_requested && outcome == attempt_outcome::refused)
+    {
+        // The rest alone decides when the upstream gets requests again.
+        return scheduling::attempt_result::refused;
+    }
     switch (outcome)
     {
     case attempt_outcome::answered:
@@ -73,6 +78,7 @@
         core_.placer.record_sent(id, metadata_.parts, now);
     }
     core_.slow_start.record_sent(placement.target, now);
+    core_.health.record_sent(id, now);
     tried_.push_back(id);
     ++attempts_sent_;
     attempt_ = std::make_shared<attempt>();
@@ -278,7 +284,8 @@
     if (last)
     {
         const auto& id = last->placement.target.id;
-        core_.record_attempt_result(id, service_->id, health_result_of(outcome));
+        const bool rest_requested = last->metadata.requested_rest.has_value();
+        core_.record_attempt_result(id, service_->id, health_result_of(outcome, rest_requested));
         release_attempt();
         refund_share(outcome);
         if (outcome == attempt_outcome::other_instance)
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -105,9 +105,9 @@
         core_.shares.record_refused(workspace_id_, share_tokens(), cause_of(reason, share),
                                     core_.now());
     }
-    const auto retry_after =
-        std::min(routing::retry_after(*route_, share.largest_used(), core_.random_unit()),
-                 std::max(milliseconds(0), time_left() / 3));
+    const auto delay = routing::retry_after(*route_, share.largest_used(), core_.random_unit()) +
+                       rest_of_all_upstreams();
+    const auto retry_after = std::min(delay, std::max(milliseconds(0), time_left() / 3));
     answer(http::status::service_unavailable, reason, retry_after);
 }
 
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -14,6 +14,8 @@
 using http::view;
 using std::chrono::milliseconds;
 
+constexpr std::string_view upstreams_resting = "upstreams_resting";
+
 /// Expected output as a fraction of the maximum, for callers that give no hint.
 constexpr double default_output_ratio = 0.6;
 
@@ -169,6 +171,11 @@
     const auto wait_deadline =
         std::min((attempts_sent_ > 0 ? now : request_->arrived()) + terms.max_queue_time,
                  deadline_ - min_time_left);
+    if (rest_of_all_upstreams() > wait_deadline - now)
+    {
+        fail_unplaced(upstreams_resting);
+        return;
+    }
     const bool is_full = core_.wait_queue.size() >= routing::admission_options{}.max_queue_length;
     if (is_full || wait_deadline <= now)
     {
@@ -249,9 +256,28 @@
     {
         return "no_upstream";
     }
+    if (rest_of_all_upstreams().count() > 0)
+    {
+        return upstreams_resting;
+    }
     return skipped_cold_upstream_ ? "upstreams_cold" : default_reason;
 }
 
+milliseconds request_session::rest_of_all_upstreams() const
+{
+    const auto now = core_.now();
+    if (core_.health.resting_count(now) == 0)
+    {
+        return {};
+    }
+    auto shortest = milliseconds::max();
+    for (const auto* upstream : core_.directory.usable(service_->id))
+    {
+        shortest = std::min(shortest, core_.health.rest_left(upstream->id, now));
+    }
+    return shortest == milliseconds::max() ? milliseconds(0) : shortest;
+}
+
 void request_session::on_deadline()
 {
     if (ended_)
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -79,6 +79,9 @@
     void reject(std::string_view reason);
     /// Why no upstream was found; `default_reason` if there is no more specific reason.
     std::string_view unplaced_reason(std::string_view default_reason) const;
+    /// Time until the first of the service's upstreams may get requests again, if all of them have
+    /// asked for a rest; else 0.
+    std::chrono::milliseconds rest_of_all_upstreams() const;
     /// Ends the request because no upstream is available. The answer depends on whether an earlier
     /// attempt may have run.
     void fail_unplaced(std::string_view reason);
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -236,7 +236,7 @@
 {
     const bool may_hold =
         home != nullptr && home != chosen.target && !was_tried(request, home->id) &&
-        !health.ejected(home->id, now) &&
+        !health.excluded(home->id, now) &&
         (request.cold_upstreams == nullptr || !request.cold_upstreams->is_cold(home->id, now));
     const auto transfer_ms_per_token =
         request.requested_service->engine
--- a/src/libcaraway/scheduling/router_role.cpp
+++ b/src/libcaraway/scheduling/router_role.cpp
@@ -141,7 +141,7 @@
     const auto& upstreams = context_.directory.upstreams_of(key.service);
     if (health_.record_result(ended.upstream, result, upstreams, now))
     {
-        next_recovery_ = health_.next_ejection_end(now);
+        next_recovery_ = health_.next_exclusion_end(now);
         const auto owner = owners_.find(ended.upstream);
         if (owner != owners_.end())
         {
@@ -181,7 +181,7 @@
                        [&](const auto& id)
                        {
                            return id != excluded && !context_.directory.upstream(id)->draining &&
-                                  !health_.ejected(id, now);
+                                  !health_.excluded(id, now);
                        });
 }
 
@@ -380,7 +380,7 @@
     {
         return;
     }
-    next_recovery_ = health_.next_ejection_end(now);
+    next_recovery_ = health_.next_exclusion_end(now);
     for (const auto& [service, content] : context_.directory.content().services)
     {
         if (queues_.waiting(service) == 0)
@@ -425,7 +425,7 @@
                          .ejected = {}};
     for (const auto& [upstream, upstream_owner] : owners_)
     {
-        if (upstream_owner == owner && health_.ejected(upstream, now))
+        if (upstream_owner == owner && health_.excluded(upstream, now))
         {
             report.ejected.push_back(upstream);
         }
@@ -514,7 +514,7 @@
                                  .owner = owner.id,
                                  .held = attempts_.held(upstream),
                                  .draining = content->draining,
-                                 .ejected = health_.ejected(upstream, now)});
+                                 .ejected = health_.excluded(upstream, now)});
     }
 }
 
--- a/src/libcaraway/scheduling/upstream_health.cpp
+++ b/src/libcaraway/scheduling/upstream_health.cpp
@@ -68,6 +68,10 @@
 bool upstream_health::usable(const base::upstream_id& upstream, base::slots held,
                              base::time_point now) const
 {
+    if (!rests_.may_send(upstream, now))
+    {
+        return false;
+    }
     const auto found = records_.find(upstream);
     if (found == records_.end() || !found->second.ejected_until)
     {
@@ -76,9 +80,9 @@
     return *found->second.ejected_until <= now && held == 0;
 }
 
-std::optional<base::time_point> upstream_health::next_ejection_end(base::time_point now) const
+std::optional<base::time_point> upstream_health::next_exclusion_end(base::time_point now) const
 {
-    std::optional<base::time_point> next;
+    auto next = rests_.next_end(now);
     for (const auto& [upstream, entry] : records_)
     {
         if (entry.ejected_until && *entry.ejected_until > now &&
--- a/src/libcaraway/scheduling/upstream_health.hpp
+++ b/src/libcaraway/scheduling/upstream_health.hpp
@@ -16,6 +16,9 @@
 /// Ejects failing upstreams: each ejection lasts twice as long as the one before, then the upstream
 /// is probed with one request. Only a limited fraction of a service's upstreams is ejected, since a
 /// fault that affects more is more likely one of this router or of the requests.
+///
+/// An upstream that refuses and asks for a rest is not failing: it gets nothing for exactly that
+/// time, however many other upstreams rest or are ejected.
 class upstream_health
 {
 public:
@@ -42,17 +45,27 @@
     {
         rests_.expire(now);
     }
-    std::size_t resting_count() const
+    std::size_t resting_count(base::time_point now) const
     {
-        return rests_.size();
+        return rests_.resting_count(now);
+    }
+    /// A request was sent to the upstream: the trial, if it is due for one after a rest.
+    void record_sent(const base::upstream_id& upstream, base::time_point now)
+    {
+        rests_.record_sent(upstream, now);
     }
 
     bool ejected(const base::upstream_id& upstream, base::time_point now) const;
+    /// Whether the upstream gets no requests for now, as it is ejected or resting.
+    bool excluded(const base::upstream_id& upstream, base::time_point now) const
+    {
+        return ejected(upstream, now) || rests_.is_resting(upstream, now);
+    }
     /// Whether one more request may be sent to `upstream` while this router runs `held` requests
     /// there.
     bool usable(const base::upstream_id& upstream, base::slots held, base::time_point now) const;
-    /// End of the ejection that ends next; nothing if no upstream is ejected.
-    std::optional<base::time_point> next_ejection_end(base::time_point now) const;
+    /// End of the ejection or rest that ends next; nothing if no upstream is excluded.
+    std::optional<base::time_point> next_exclusion_end(base::time_point now) const;
 
     /// Call when another process has taken over the upstream's id: the results of the previous
     /// process do not apply to the new one.
--- a/tests/upstream_rests/test_upstream_rests.cpp
+++ b/tests/upstream_rests/test_upstream_rests.cpp
@@ -131,4 +131,31 @@
     BOOST_TEST(second.requests_received == 1);
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_only_resting_upstreams_could_serve_is_refused_at_once)
+{
+    auto& router = serve("plain");
+    first.next_behaviours = {refuse_with_rest(long_rest)};
+    second.next_behaviours = {refuse_with_rest(long_rest)};
+    BOOST_TEST(receives_status(send_next(router, "/p/"), "503"));
+
+    const auto refused = send_next(router, "/p/");
+    BOOST_REQUIRE(receives_status(refused, "503"));
+    BOOST_TEST(refused->received.find("upstreams_resting") != std::string::npos);
+    // A third of the three seconds that its route allows.
+    BOOST_TEST(refused->received.find("Retry-After: 0.9") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(requests_wait_for_the_end_of_a_short_rest)
+{
+    auto& router = serve("plain");
+    first.next_behaviours = {refuse_with_rest("0.2")};
+    second.next_behaviours = {refuse_with_rest(long_rest)};
+
+    BOOST_TEST(receives_status(send_next(router, "/p/"), "503"));
+    BOOST_TEST(receives_status(send_next(router, "/p/"), "200"));
+    BOOST_TEST(first.requests_received == 2);
+    BOOST_TEST(router.state()["upstreams"][0]["rest_left_ms"].get<int>() == 0);
+    BOOST_TEST(router.state()["upstreams"][1]["rest_left_ms"].get<int>() > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
