Directory, Router: an upstream that says in an answer that it leaves gets no more requests

Upstreams that leave now say so in all their answers. A router passed such answers on and went on sending, as only the entry in the platform's table counted, which a router that is cut off or late doesn't see. The announcement binds the incarnation for good, whatever its entry says; peers are told in digests as of a draining one; its removal is not deferred in an outage.

--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -245,6 +245,14 @@
     timers.after(rest, [this] { dispatch_waiting(); });
 }
 
+void core::record_leaving(const base::upstream_id& id)
+{
+    if (directory.record_announced_leaving(id, now()))
+    {
+        log.line("upstream_leaving", {{"upstream", id.str()}});
+    }
+}
+
 void core::record_restart(const base::upstream_id& id, std::chrono::milliseconds process_start)
 {
     log.line("upstream_restarted", {{"upstream", id.str()}, {"born", process_start.count()}});
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -95,6 +95,8 @@
     void record_unreachable(const base::upstream_id& id);
     /// An upstream answered a request with a rest: it wants nothing from this router for `rest`.
     void record_rest(const base::upstream_id& id, std::chrono::milliseconds rest);
+    /// An upstream announced in an answer that it is shutting down.
+    void record_leaving(const base::upstream_id& id);
     /// A new process runs under the upstream's id. `process_start` is its start time since the Unix
     /// epoch by the upstream's clock.
     void record_restart(const base::upstream_id& id, std::chrono::milliseconds process_start);
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -135,6 +135,10 @@
     {
         core_.record_rest(current.placement.target.id, *rest);
     }
+    if (current.metadata.leaving)
+    {
+        core_.record_leaving(current.placement.target.id);
+    }
     const bool success = head.result_int() >= 200 && head.result_int() < 300;
     current.is_stream = success && current.metadata.verified && route_->streaming &&
                         view(head[http::field::content_type]).starts_with("text/event-stream");
--- a/src/libcaraway/routing/upstream_directory.cpp
+++ b/src/libcaraway/routing/upstream_directory.cpp
@@ -32,7 +32,7 @@
     {
         leaving_.try_emplace(entry.id, entry.process_start, stamp.received);
     }
-    else
+    else if (!has_announced_leaving(entry))
     {
         leaving_.erase(entry.id);
     }
@@ -50,7 +50,8 @@
     {
         return removal::not_listed;
     }
-    if (in_grace(stamp.received) && !entries_.at(id).draining)
+    const auto& entry = entries_.at(id);
+    if (in_grace(stamp.received) && !entry.draining && !has_announced_leaving(entry))
     {
         deferred_removals_[id] = true;
         return removal::deferred;
@@ -132,6 +133,8 @@
                       return !entries_.contains(update.first) &&
                              update.second.received + options_.tombstone_retention <= now;
                   });
+    std::erase_if(announced_leaving_,
+                  [&](const auto& entry) { return !last_updates_.contains(entry.first); });
     return removed;
 }
 
@@ -165,6 +168,32 @@
     reported = {entry.process_start, now};
 }
 
+bool upstream_directory::record_announced_leaving(const base::upstream_id& id, base::time_point now)
+{
+    // Also of an entry that was removed: an upstream may register again after an outage.
+    const auto known = last_updates_.find(id);
+    if (known == last_updates_.end())
+    {
+        return false;
+    }
+    const auto process_start = known->second.process_start;
+    const auto [announced, added] = announced_leaving_.try_emplace(id, process_start);
+    if (!added && announced->second == process_start)
+    {
+        return false;
+    }
+    announced->second = process_start;
+    leaving_.try_emplace(id, process_start, now);
+    usable_cache_.clear();
+    return true;
+}
+
+bool upstream_directory::has_announced_leaving(const upstream& entry) const
+{
+    const auto announced = announced_leaving_.find(entry.id);
+    return announced != announced_leaving_.end() && announced->second == entry.process_start;
+}
+
 std::vector<leaving_upstream> upstream_directory::leaving(base::time_point now) const
 {
     std::vector<leaving_upstream> result;
@@ -269,7 +298,8 @@
     const auto reported = reported_leaving_.find(entry.id);
     const bool is_leaving =
         reported != reported_leaving_.end() && reported->second.first == entry.process_start;
-    return !entry.draining && !is_leaving && !zones_.contains(entry.zone);
+    return !entry.draining && !is_leaving && !has_announced_leaving(entry) &&
+           !zones_.contains(entry.zone);
 }
 
 const upstream* upstream_directory::find(const base::upstream_id& id) const
--- a/src/libcaraway/routing/upstream_directory.hpp
+++ b/src/libcaraway/routing/upstream_directory.hpp
@@ -135,6 +135,10 @@
     /// then this router's own listing shows it too; a longer exclusion would be wrong if the peer's
     /// report is mistaken or late.
     void record_leaving(const leaving_upstream& entry, base::time_point now);
+    /// The upstream announced in an answer that it is shutting down. Its current incarnation gets
+    /// no new requests from now on, whatever its entry says. Returns false if that is known
+    /// already.
+    bool record_announced_leaving(const base::upstream_id& id, base::time_point now);
     /// Incarnations seen draining or removed within `leaving_retention`, to report to peers.
     std::vector<leaving_upstream> leaving(base::time_point now) const;
     /// Removes an entry whose address turned out to belong to another instance: the upstream
@@ -183,6 +187,7 @@
     std::vector<base::upstream_id> apply_deferred_removals(base::time_point now);
     void remove_entry(const base::upstream_id& id, base::time_point now);
     bool is_usable(const upstream& entry) const;
+    bool has_announced_leaving(const upstream& entry) const;
 
     /// The last update of an id. Kept as a tombstone after the entry's removal, until
     /// `tombstone_retention` after its receipt.
@@ -206,6 +211,9 @@
     /// own table, and by peers.
     leaving_times leaving_;
     leaving_times reported_leaving_;
+    /// Process starts of the incarnations that announced their leaving; kept as long as the last
+    /// update of the id.
+    std::map<base::upstream_id, std::chrono::milliseconds> announced_leaving_;
     drained_zones zones_;
     change_log changes_;
     /// The position in `changes_` for which the content hash was computed, and the hash.
--- a/src/libcaraway/scheduling/upstream_rests.cpp
+++ b/src/libcaraway/scheduling/upstream_rests.cpp
@@ -85,9 +85,8 @@
 
 std::size_t upstream_rests::resting_count(base::time_point now) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(rests_.begin(), rests_.end(),
-                      [&](const auto& item) { return now < item.second.end; }));
+    return static_cast<std::size_t>(std::count_if(
+        rests_.begin(), rests_.end(), [&](const auto& item) { return now < item.second.end; }));
 }
 
 }  // namespace caraway::scheduling
--- a/tests/routing/test_upstream_directory.cpp
+++ b/tests/routing/test_upstream_directory.cpp
@@ -251,4 +251,55 @@
     BOOST_TEST(directory.size() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_that_announced_its_leaving_stays_excluded_whatever_its_entry_says)
+{
+    upstream_directory directory;
+    directory.put(make_upstream("a"), next_stamp());
+    directory.record_announced_leaving(base::upstream_id("a"), start());
+    BOOST_TEST(directory.usable(engines).empty());
+
+    directory.put(make_upstream("a"), next_stamp());
+    directory.expire(start() + 1min);
+
+    BOOST_TEST(directory.usable(engines).empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_announced_leaving_is_reported_to_peers_for_a_limited_time)
+{
+    upstream_directory directory;
+    directory.put(make_upstream("a"), next_stamp());
+    directory.record_announced_leaving(base::upstream_id("a"), start());
+    directory.put(make_upstream("a"), next_stamp());
+
+    BOOST_REQUIRE(directory.leaving(start() + 1s).size() == 1);
+    BOOST_TEST(directory.leaving(start() + 1s).front().id.str() == "a");
+    directory.expire(start() + 7s);
+    BOOST_TEST(directory.leaving(start() + 7s).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_new_process_is_not_bound_by_the_announcement_of_the_one_before)
+{
+    upstream_directory directory;
+    auto entry = make_upstream("a");
+    entry.process_start = 1000ms;
+    directory.put(entry, next_stamp());
+    directory.record_announced_leaving(entry.id, start());
+    entry.process_start = 2000ms;
+    directory.put(entry, next_stamp());
+
+    BOOST_TEST(directory.usable(engines).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(the_removal_of_an_upstream_that_announced_its_leaving_is_not_deferred)
+{
+    upstream_directory directory;
+    directory.put(make_upstream("a"), next_stamp());
+    directory.record_announced_leaving(base::upstream_id("a"), start());
+    directory.record_store_lost(start());
+
+    directory.remove(base::upstream_id("a"), next_stamp(start() + 1ms));
+
+    BOOST_TEST(directory.size() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/users_platform/stand_in_runner.cpp
+++ b/tests/users_platform/stand_in_runner.cpp
@@ -70,6 +70,7 @@
     {
         head.set("Retry-After", retry_after);
     }
+    announce_leaving(head);
     current.exchange->respond(std::move(head), {});
 }
 
@@ -114,7 +115,16 @@
     head.result(code);
     head.set("X-Request-Id", current.id);
     head.set("X-Response-Seal", "seal of " + instance);
+    announce_leaving(head);
     return head;
 }
 
+void stand_in_runner::announce_leaving(http::response_head& head) const
+{
+    if (leaving)
+    {
+        head.set("Server-Leaving", "1");
+    }
+}
+
 }  // namespace users_platform_tests
--- a/tests/users_platform/stand_in_runner.hpp
+++ b/tests/users_platform/stand_in_runner.hpp
@@ -42,6 +42,8 @@
     std::string instance;
     std::string zone = "z1";
     std::optional<int> warmup_left_ms;
+    /// All answers say that the runner is shutting down.
+    bool leaving = false;
     std::deque<behaviour> next_behaviours;
     std::vector<run> runs;
     /// Number of requests received, including those not run.
@@ -59,6 +61,7 @@
 private:
     void on_request(const std::shared_ptr<caraway::http::exchange>& request);
     caraway::http::response_head head_for(const run& current, unsigned code) const;
+    void announce_leaving(caraway::http::response_head& head) const;
 
     caraway::http::listener listener_;
     std::uint16_t port_ = 0;
--- a/tests/users_platform/test_leaving.cpp
+++ b/tests/users_platform/test_leaving.cpp
@@ -121,4 +121,36 @@
     BOOST_TEST(first.runs.empty());
 }
 
+// Guards against requests to an upstream that announced in its answers that it leaves, while its
+// entry still says that it is ready.
+BOOST_AUTO_TEST_CASE(an_upstream_that_says_in_an_answer_that_it_leaves_gets_no_more_requests)
+{
+    auto& router = start_router();
+    first.leaving = true;
+    send_requests(router);
+    BOOST_TEST(first.runs.size() == 1);
+    BOOST_TEST(becomes_true([&] { return logged({"upstream_leaving", "i-1"}); }));
+
+    add_upstream(first);
+    add_upstream(third);
+    BOOST_REQUIRE(
+        becomes_true([&] { return usable_upstreams(router).find("i-3") != std::string::npos; }));
+    send_requests(router);
+    BOOST_TEST(first.runs.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_also_says_that_its_upstream_leaves)
+{
+    auto& router = start_router();
+    first.leaving = true;
+    first.next_behaviours = {[](stand_in_runner& upstream, const stand_in_runner::run& current)
+                             {
+                                 upstream.reject(current);
+                             }};
+    BOOST_TEST(receives_status(send_request(router, "/a/", "id-0"), "503"));
+    BOOST_TEST(becomes_true([&] { return logged({"upstream_leaving", "i-1"}); }));
+    send_requests(router);
+    BOOST_TEST(first.runs.size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
