Scheduling, Traffic: routers on Qt keep an upstream's rest too

The same fault elsewhere: carawayd took a 503 of an upstream for a failure or an overload of a fixed time, whatever Retry-After asked, and beyond half of a service's upstreams for nothing. The answer's field goes with the end of the attempt to the scheduler, which binds no slot there, tells the owner, and sends one trial after the rest. That a rest decides alone moved from the users' platform's router into upstream_health, so both keep it alike.

Stand-ins answer with retry_after_s; a case on real processes waits for the end of the rest.

--- a/src/carawayd/control/scheduler_host.cpp
+++ b/src/carawayd/control/scheduler_host.cpp
@@ -90,6 +90,10 @@
 void scheduler_host::attempt_ended(const traffic::attempt_note& note)
 {
     const auto now = clock_.now();
+    if (note.requested_rest)
+    {
+        scheduler_.record_rest(note.request, *note.requested_rest, now);
+    }
     scheduler_.finished(note.request, note.total, note.result, now);
     const auto found = requests_.find(note.request);
     if (found != requests_.end() && !note.retry)
--- a/src/carawayd/traffic/control_link.hpp
+++ b/src/carawayd/traffic/control_link.hpp
@@ -6,7 +6,9 @@
 #include "libcaraway/scheduling/actions.hpp"
 #include "libcaraway/scheduling/request.hpp"
 
+#include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -39,6 +41,8 @@
     caraway::base::cost total;
     caraway::scheduling::attempt_result result{};
     bool retry = false;
+    /// The upstream refused and wants nothing from this router for this time.
+    std::optional<std::chrono::milliseconds> requested_rest;
 };
 
 /// Asks for the claim of a caller's key before a call that may run only once.
--- a/src/carawayd/traffic/session.cpp
+++ b/src/carawayd/traffic/session.cpp
@@ -189,6 +189,7 @@
     }
     services_.metrics.attempt_started(plan_.service.id);
     record_.begin(target.id);
+    requested_rest_.reset();
     relay_.begin_attempt();
     call_ = services_.client.start(upstream_request(target));
     connect(call_.get(), &caraway::net::http_call::head, this, &session::on_head);
@@ -243,6 +244,7 @@
 
 void session::on_head(int status, std::vector<caraway::net::http_header> headers)
 {
+    requested_rest_ = caraway::net::requested_rest(status, headers);
     relay_.take_head(status, std::move(headers));
 }
 
@@ -401,8 +403,11 @@
     {
         total = answer_cost(relay_.body(), total);
     }
-    services_.control.attempt_ended(
-        {.request = number_, .total = total, .result = result_of(how), .retry = retry});
+    services_.control.attempt_ended({.request = number_,
+                                     .total = total,
+                                     .result = result_of(how),
+                                     .retry = retry,
+                                     .requested_rest = requested_rest_});
 }
 
 void session::follow(const caraway::attempts::retry_decision& decision)
--- a/src/carawayd/traffic/session.hpp
+++ b/src/carawayd/traffic/session.hpp
@@ -109,6 +109,8 @@
     std::uint64_t tokens_ = 0;
     bool resuming_ = false;
     caraway::base::cost reported_;
+    /// Of the current attempt's answer.
+    std::optional<std::chrono::milliseconds> requested_rest_;
     caraway::base::time_point arrival_;
     caraway::base::time_point attempt_start_;
     bool first_data_seen_ = false;
--- a/src/libcaraway/net/http_message.hpp
+++ b/src/libcaraway/net/http_message.hpp
@@ -2,6 +2,7 @@
 
 #include <QByteArray>
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -23,6 +24,11 @@
 std::optional<std::string> find_header(const std::vector<http_header>& headers,
                                        std::string_view name);
 
+/// The time for which an upstream that answers 503 wants no more requests: the seconds of its
+/// Retry-After field (RFC 9110, 10.2.3). Nothing for other answers, a date or a malformed value.
+std::optional<std::chrono::milliseconds> requested_rest(int status,
+                                                        const std::vector<http_header>& headers);
+
 /// A whole request as a caller sent it, its body decoded from chunks where it came in chunks.
 struct http_request
 {
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -35,13 +35,8 @@
     return attempt_outcome::unknown;
 }
 
-scheduling::attempt_result health_result_of(attempt_outcome outcome, bool rest_requested)
+scheduling::attempt_result health_result_of(attempt_outcome outcome)
 {
-    if (rest_requested && outcome == attempt_outcome::refused)
-    {
-        // The rest alone decides when the upstream gets requests again.
-        return scheduling::attempt_result::refused;
-    }
     switch (outcome)
     {
     case attempt_outcome::answered:
@@ -288,8 +283,7 @@
     if (last)
     {
         const auto& id = last->placement.target.id;
-        const bool rest_requested = last->metadata.requested_rest.has_value();
-        core_.record_attempt_result(id, service_->id, health_result_of(outcome, rest_requested));
+        core_.record_attempt_result(id, service_->id, health_result_of(outcome));
         release_attempt();
         refund_share(outcome);
         if (outcome == attempt_outcome::other_instance)
--- a/src/libcaraway/scheduling/node_scheduler.cpp
+++ b/src/libcaraway/scheduling/node_scheduler.cpp
@@ -171,6 +171,12 @@
     parts_->run_until_idle(now);
 }
 
+void node_scheduler::record_rest(base::request_number number, std::chrono::milliseconds rest,
+                                 base::time_point now)
+{
+    parts_->router.record_rest(number, rest, now);
+}
+
 bool node_scheduler::retry(base::request_number number, base::time_point now)
 {
     const bool queued = parts_->router.retry(number, now);
--- a/src/libcaraway/scheduling/node_scheduler.hpp
+++ b/src/libcaraway/scheduling/node_scheduler.hpp
@@ -48,6 +48,10 @@
     /// Ends the attempt, frees its slot and charges its final cost (0 if the attempt did not run).
     void finished(base::request_number number, base::cost total, attempt_result result,
                   base::time_point now);
+    /// The upstream refused the running request and asked this router to send nothing for `rest`.
+    /// To be followed by finished().
+    void record_rest(base::request_number number, std::chrono::milliseconds rest,
+                     base::time_point now);
     /// Puts a request whose attempt has finished back at the head of its queue; for a while the
     /// request avoids the same upstream. Returns false if the retry budget or the deadline forbids
     /// a retry; the request is then finished.
--- a/src/libcaraway/scheduling/router_role.cpp
+++ b/src/libcaraway/scheduling/router_role.cpp
@@ -128,6 +128,27 @@
     }
 }
 
+void router_role::record_rest(base::request_number number, std::chrono::milliseconds rest,
+                              base::time_point now)
+{
+    if (const auto* running = attempts_.find(number))
+    {
+        health_.record_rest(running->upstream, rest, now);
+        exclusions_changed(running->upstream, now);
+    }
+}
+
+/// Schedules a report to the upstream's owner, which grants no slots of excluded upstreams.
+void router_role::exclusions_changed(const base::upstream_id& upstream, base::time_point now)
+{
+    next_recovery_ = health_.next_exclusion_end(now);
+    const auto owner = owners_.find(upstream);
+    if (owner != owners_.end())
+    {
+        reports_.mark_changed(owner->second, now);
+    }
+}
+
 void router_role::record_result(const attempt& ended, base::cost total, attempt_result result,
                                 base::time_point now)
 {
@@ -141,12 +162,7 @@
     const auto& upstreams = context_.directory.upstreams_of(key.service);
     if (health_.record_result(ended.upstream, result, upstreams, now))
     {
-        next_recovery_ = health_.next_exclusion_end(now);
-        const auto owner = owners_.find(ended.upstream);
-        if (owner != owners_.end())
-        {
-            reports_.mark_changed(owner->second, now);
-        }
+        exclusions_changed(ended.upstream, now);
     }
 }
 
@@ -230,6 +246,7 @@
     }
     ++next->attempts;
     ++context_.counters.started;
+    health_.record_sent(offered.upstream, now);
     rates_.record_start(key, now);
     affinity_.record(next->affinity, offered.upstream);
     const auto fallback = context_.directory.default_cost(key.service);
@@ -380,6 +397,7 @@
     {
         return;
     }
+    health_.expire_rests(now);
     next_recovery_ = health_.next_exclusion_end(now);
     for (const auto& [service, content] : context_.directory.content().services)
     {
--- a/src/libcaraway/scheduling/router_role.hpp
+++ b/src/libcaraway/scheduling/router_role.hpp
@@ -40,6 +40,9 @@
     /// An attempt has ended; `total` is its final cost.
     void finished(base::request_number number, base::cost total, attempt_result result,
                   base::time_point now);
+    /// The upstream of a running request refused it and asked for a rest.
+    void record_rest(base::request_number number, std::chrono::milliseconds rest,
+                     base::time_point now);
     /// Queues a request again after a failed attempt. Returns false if a retry is not allowed: the
     /// retry window or the deadline has expired, or the retry budget is exhausted.
     bool retry(base::request_number number, base::time_point now);
@@ -73,6 +76,7 @@
                           base::time_point now);
     void record_result(const attempt& ended, base::cost total, attempt_result result,
                        base::time_point now);
+    void exclusions_changed(const base::upstream_id& upstream, base::time_point now);
     void expire_requests(base::time_point now);
     void report_recovered(base::time_point now);
     bool has_alternative(const base::service_id& service, const base::upstream_id& other,
--- a/src/libcaraway/scheduling/upstream_health.cpp
+++ b/src/libcaraway/scheduling/upstream_health.cpp
@@ -19,6 +19,10 @@
                                     const std::vector<base::upstream_id>& peers,
                                     base::time_point now)
 {
+    if (result == attempt_result::overloaded && rests_.is_resting(upstream, now))
+    {
+        return false;
+    }
     switch (result)
     {
     case attempt_result::done:
--- a/src/libstandin/call_faults.cpp
+++ b/src/libstandin/call_faults.cpp
@@ -25,6 +25,7 @@
         .add("late_ms", &late_ms)
         .add("status", &status)
         .add("status_count", &status_count)
+        .add("retry_after_s", &retry_after_s)
         .add("redirect", &redirect)
         .add("silent_accept", &silent_accept)
         .add("silence_open", &silence_open);
@@ -34,7 +35,12 @@
 {
     if (status != 0 && strikes(status_count))
     {
-        call.respond({.status = status, .body = error_body(status)});
+        answer refusal{.status = status, .body = error_body(status)};
+        if (retry_after_s > 0)
+        {
+            refusal.headers.push_back({"Retry-After", QByteArray::number(retry_after_s)});
+        }
+        call.respond(refusal);
         return true;
     }
     if (redirect == 0)
--- a/src/libstandin/call_faults.hpp
+++ b/src/libstandin/call_faults.hpp
@@ -19,6 +19,7 @@
     int late_ms = 0;            ///< The answer is held back that long.
     int status = 0;             ///< Not run, answered with this status; 0 is off.
     int status_count = -1;      ///< How many requests get `status`; -1 means all.
+    int retry_after_s = 0;      ///< Sent with `status` as Retry-After; 0 is off.
     int redirect = 0;           ///< Not run, 307 to this port of the same address; 0 is off.
     int silent_accept = 0;      ///< Next N connections are accepted and never read; -1 means all.
     bool silence_open = false;  ///< Set once: all connections open now go silent for good.
--- a/tests/promises/test_answers.cpp
+++ b/tests/promises/test_answers.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <QElapsedTimer>
+
 #include <csignal>
 
 using promises::fleet_fixture;
@@ -139,4 +141,19 @@
     BOOST_TEST(promises::becomes_true([&] { return !fixture.running.router(0).running(); }));
 }
 
+// Guards against requests to an upstream that refused one and asked for rest.
+BOOST_AUTO_TEST_CASE(an_upstream_that_asks_for_rest_gets_nothing_until_its_end)
+{
+    constexpr int rest_s = 3;
+    fleet_fixture fixture;
+    fixture.control_service({{"status", 503}, {"status_count", 1}, {"retry_after_s", rest_s}});
+    QElapsedTimer elapsed;
+    elapsed.start();
+    BOOST_TEST(fixture.confirm(0, "refused").status == 503);
+    const auto got = fixture.confirm(0, "waits");
+    BOOST_TEST(got.status == 200, got.body.toStdString());
+    BOOST_TEST(elapsed.elapsed() >= rest_s * 1000);
+    BOOST_TEST(fixture.service_runs() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduling/fleet.cpp
+++ b/tests/scheduling/fleet.cpp
@@ -358,9 +358,15 @@
     {
         return;
     }
+    const auto node = jobs_.at(id).node;
+    ++arrivals[upstream][node];
     const auto fault = forced_results.find(upstream);
     if (fault != forced_results.end())
     {
+        if (const auto rest = requested_rests.find(upstream); rest != requested_rests.end())
+        {
+            routers_[node].scheduler->record_rest(id.second, rest->second, now());
+        }
         complete(upstream, id, fault->second);
         return;
     }
--- a/tests/scheduling/fleet.hpp
+++ b/tests/scheduling/fleet.hpp
@@ -112,6 +112,10 @@
     const std::vector<rejection>& given_up() const;
     /// Results by upstream: attempts at these upstreams end with this result without being run.
     std::map<std::string, attempt_result> forced_results;
+    /// Rests that upstreams of `forced_results` ask for with each refusal.
+    std::map<std::string, milliseconds> requested_rests;
+    /// Attempts that reached each upstream, by router.
+    std::map<std::string, std::map<std::uint32_t, std::uint32_t>> arrivals;
     /// Called for each message that is sent.
     std::function<void(std::uint32_t from, const send_message&)> on_message;
     /// Called after each step of virtual time.
