Tables: a router that no copy reaches calls the store for the configuration

After an unanswered copy it now holds a call at the store, as an overloaded one does, until a copy arrives. The upstreams' table had such a way back already (unconfirmed copies).

--- a/src/libcaraway/router/daemon_peers.cpp
+++ b/src/libcaraway/router/daemon_peers.cpp
@@ -108,10 +108,11 @@
 
 /// An overloaded router needs seconds to request a copy from a peer, which takes four iterations of
 /// its event loop. The store holds a call open and answers it as soon as the configuration changes,
-/// so an overloaded router always calls the store.
+/// so an overloaded router always calls the store. So does one that the last copy did not reach:
+/// its link may delay each of them beyond the time-out.
 void daemon::choose_configuration_source(bool polls_store)
 {
-    if (polls_store || core_.overload.overloaded())
+    if (polls_store || core_.overload.overloaded() || link_.unanswered() > 0)
     {
         configurations_->resume();
     }
