--- a/tests/routing/test_placer.cpp
+++ b/tests/routing/test_placer.cpp
@@ -289,6 +289,22 @@
     BOOST_TEST(!place(request).has_value());
 }
 
+// Guards against work for an engine that asked for rest on behalf of requests to other engines.
+BOOST_AUTO_TEST_CASE(parts_are_not_fetched_from_a_home_that_asked_for_rest)
+{
+    enable_cache_transfer();
+    const auto parts = session("s1");
+    const placement_request request{
+        .requested_service = &engines, .prompt_tokens = 11900, .parts = &parts};
+    add_engines(18);
+    const auto home = place(request)->target;
+    board.record_start(home.id, {.running = 32});
+    BOOST_REQUIRE(place(request)->cache_source.has_value());
+
+    health.record_rest(home.id, 3000ms, now);
+    BOOST_TEST(!place(request)->cache_source.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(small_parts_are_not_fetched_nor_from_engines_without_transfer)
 {
     const std::vector<prompt_part> small{
