Router: only a rest makes a request refused for resting upstreams

A request that had no time left to wait was refused as upstreams_resting, though none rested: its wait ended before now, and a rest of 0 is longer than a negative time. Refusals for want of a place then weren't counted as held by engines. Found by reading, before any landing.

--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -171,7 +171,8 @@
     const auto wait_deadline =
         std::min((attempts_sent_ > 0 ? now : request_->arrived()) + terms.max_queue_time,
                  deadline_ - min_time_left);
-    if (rest_of_all_upstreams() > wait_deadline - now)
+    const auto rest = rest_of_all_upstreams();
+    if (rest.count() > 0 && now + rest > wait_deadline)
     {
         fail_unplaced(upstreams_resting);
         return;
--- a/tests/upstream_rests/test_upstream_rests.cpp
+++ b/tests/upstream_rests/test_upstream_rests.cpp
@@ -145,6 +145,26 @@
     BOOST_TEST(refused->received.find("Retry-After: 0.9") != std::string::npos);
 }
 
+// Guards against requests that are late already being counted as held by resting upstreams.
+BOOST_AUTO_TEST_CASE(a_request_without_time_to_wait_is_refused_for_want_of_a_place)
+{
+    auto& router = serve("engines");
+    constexpr std::size_t slots = 4;
+    first.next_behaviours.assign(slots, keep_open);
+    second.next_behaviours.assign(slots, keep_open);
+    std::vector<std::shared_ptr<http_tests::raw_peer>> streams;
+    for (std::size_t number = 0; number < 2 * slots; ++number)
+    {
+        streams.push_back(send_next(router, "/e/"));
+        BOOST_REQUIRE(
+            becomes_true([&] { return first.runs.size() + second.runs.size() == number + 1; }));
+    }
+    const auto refused =
+        send_request(router, "/e/", "late", "Api-Key: key-1\r\nX-Deadline-Ms: 10\r\n");
+    BOOST_REQUIRE(receives_status(refused, "503"));
+    BOOST_TEST(refused->received.find("no_place") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(requests_wait_for_the_end_of_a_short_rest)
 {
     auto& router = serve("plain");
