Tests: digests are sent from one place, and so are rests in the fleet's model

The sender of digests stood in test_peer_digests and again in test_silent_peers; rests_in_fleets set up a rest three times. No assertion changed.

--- a/tests/scheduling/rests_in_fleets_test.cpp
+++ b/tests/scheduling/rests_in_fleets_test.cpp
@@ -11,6 +11,11 @@
 constexpr milliseconds rest{3000};
 constexpr std::uint32_t nodes = 3;
 
+double fixed_cost()
+{
+    return 5;
+}
+
 fleet flooded_fleet()
 {
     fleet f({.nodes = nodes});
@@ -20,18 +25,30 @@
     f.run_for(milliseconds(1000));
     for (std::uint32_t node = 0; node < nodes; ++node)
     {
-        f.add_flood({.node = node,
-                     .workspace = "a",
-                     .depth = 8,
-                     .cost = []
-                     {
-                         return 5.0;
-                     }});
+        f.add_flood({.node = node, .workspace = "a", .depth = 8, .cost = fixed_cost});
     }
     f.run_for(milliseconds(500));
     return f;
 }
 
+/// Lets upstreams refuse and ask for rest until all routers know of it.
+void begin_rests(fleet& f, const std::vector<std::string>& upstreams)
+{
+    for (const auto& upstream : upstreams)
+    {
+        f.forced_results[upstream] = attempt_result::overloaded;
+        f.requested_rests[upstream] = rest;
+    }
+    f.run_for(milliseconds(400));
+}
+
+/// Forgets earlier arrivals and counts those of the next `duration`.
+void observe(fleet& f, milliseconds duration)
+{
+    f.arrivals.clear();
+    f.run_for(duration);
+}
+
 std::uint32_t most_arrivals(const fleet& f, const std::string& upstream)
 {
     std::uint32_t most = 0;
@@ -52,11 +69,8 @@
 BOOST_AUTO_TEST_CASE(an_upstream_that_asks_for_rest_gets_no_grants_used_until_its_end)
 {
     auto f = flooded_fleet();
-    f.forced_results["s-u0"] = attempt_result::overloaded;
-    f.requested_rests["s-u0"] = rest;
-    f.run_for(milliseconds(400));
-    f.arrivals.clear();
-    f.run_for(milliseconds(2000));
+    begin_rests(f, {"s-u0"});
+    observe(f, milliseconds(2000));
     BOOST_TEST(most_arrivals(f, "s-u0") == 0);
     BOOST_TEST(most_arrivals(f, "s-u1") > 0);
 }
@@ -64,15 +78,10 @@
 BOOST_AUTO_TEST_CASE(all_upstreams_of_a_service_may_rest)
 {
     auto f = flooded_fleet();
-    for (const auto* upstream : {"s-u0", "s-u1", "s-u2", "s-u3"})
-    {
-        f.forced_results[upstream] = attempt_result::overloaded;
-        f.requested_rests[upstream] = rest;
-    }
-    f.run_for(milliseconds(400));
-    f.arrivals.clear();
-    f.run_for(milliseconds(2000));
-    for (const auto* upstream : {"s-u0", "s-u1", "s-u2", "s-u3"})
+    const std::vector<std::string> upstreams{"s-u0", "s-u1", "s-u2", "s-u3"};
+    begin_rests(f, upstreams);
+    observe(f, milliseconds(2000));
+    for (const auto& upstream : upstreams)
     {
         BOOST_TEST(most_arrivals(f, upstream) == 0);
     }
@@ -81,13 +90,10 @@
 BOOST_AUTO_TEST_CASE(an_upstream_is_used_again_after_its_rest)
 {
     auto f = flooded_fleet();
-    f.forced_results["s-u0"] = attempt_result::overloaded;
-    f.requested_rests["s-u0"] = rest;
-    f.run_for(milliseconds(400));
+    begin_rests(f, {"s-u0"});
     f.forced_results.clear();
     f.run_for(rest);
-    f.arrivals.clear();
-    f.run_for(milliseconds(1000));
+    observe(f, milliseconds(1000));
     BOOST_TEST(most_arrivals(f, "s-u0") > 0);
 }
 
--- a/tests/upstream_rests/main.cpp
+++ b/tests/upstream_rests/main.cpp
@@ -1,2 +1,2 @@
-#define BOOST_TEST_MODULE users_platform
+#define BOOST_TEST_MODULE upstream_rests
 #include <boost/test/unit_test.hpp>
--- a/tests/users_platform/test_peer_digests.cpp
+++ b/tests/users_platform/test_peer_digests.cpp
@@ -1,12 +1,10 @@
+#include "digest_sender.hpp"
 #include "router_fixture.hpp"
 
-#include <boost/asio/ip/address.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace users_platform_tests;
 using namespace caraway;
-using udp = boost::asio::ip::udp;
 
 namespace
 {
@@ -14,20 +12,12 @@
 struct digest_fixture : router_fixture
 {
     stand_in_runner runner{loop, timers, "i-1"};
-    udp::socket sender{loop};
+    digest_sender sender{loop};
 
     digest_fixture()
     {
         accept_configuration(1, {{.prefix = "/a/"}});
         add_upstream(runner);
-        sender.open(udp::v4());
-    }
-
-    void send_digest(router::daemon& router, const routing::digest& digest)
-    {
-        const auto& address = router.options().datagrams;
-        const udp::endpoint destination(boost::asio::ip::make_address(address.ip), address.port);
-        sender.send_to(boost::asio::buffer(routing::encode(digest)), destination);
     }
 
     static std::size_t peers(router::daemon& router)
@@ -53,7 +43,7 @@
     constexpr int count = 40;
     for (int i = 0; i < count; ++i)
     {
-        send_digest(router, {.sender = base::node_id("peer-" + std::to_string(i)),
+        sender.send(router, {.sender = base::node_id("peer-" + std::to_string(i)),
                              .incarnation = 1,
                              .sequence = 1,
                              .zone = base::zone_id("z1")});
--- a/tests/users_platform/test_silent_peers.cpp
+++ b/tests/users_platform/test_silent_peers.cpp
@@ -1,12 +1,10 @@
+#include "digest_sender.hpp"
 #include "table_fixture.hpp"
 
-#include <boost/asio/ip/address.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace users_platform_tests;
 using namespace caraway;
-using udp = boost::asio::ip::udp;
 
 namespace
 {
@@ -18,16 +16,11 @@
     static constexpr std::chrono::milliseconds digest_period{100};
 
     http_tests::raw_server silent{loop};
-    udp::socket sender{loop};
+    digest_sender sender{loop};
     std::uint64_t sequence = 0;
     std::uint64_t announced_version = 1;
     base::time_point next_digests{};
 
-    silent_peers_fixture()
-    {
-        sender.open(udp::v4());
-    }
-
     /// Hash of the upstreams that the store lists.
     std::uint64_t content_hash() const
     {
@@ -39,8 +32,6 @@
 
     void send_digests(const router::daemon& receiver)
     {
-        const auto& address = receiver.options().datagrams;
-        const udp::endpoint destination(boost::asio::ip::make_address(address.ip), address.port);
         ++sequence;
         for (int number = 0; number < peer_count; ++number)
         {
@@ -57,7 +48,7 @@
                                                     .answer_count = sequence,
                                                     .revision = 1000000,
                                                     .content_hash = content_hash()}};
-            sender.send_to(boost::asio::buffer(routing::encode(digest)), destination);
+            sender.send(receiver, digest);
         }
     }
 
