Directory, Health, Router: announced leaving is kept with the last update, rests are looked up once

A second map beside last_updates_ held which process announced its leaving and was pruned by hand; a flag of the last update, dropped when the process is another, says the same. Whether an upstream rests follows from the time left. The search for a service whose upstreams all rest stops at the first that doesn't, instead of counting rests first.

--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -267,14 +267,15 @@
 milliseconds request_session::rest_of_all_upstreams() const
 {
     const auto now = core_.now();
-    if (core_.health.resting_count(now) == 0)
-    {
-        return {};
-    }
     auto shortest = milliseconds::max();
     for (const auto* upstream : core_.directory.usable(service_->id))
     {
-        shortest = std::min(shortest, core_.health.rest_left(upstream->id, now));
+        const auto rest = core_.health.rest_left(upstream->id, now);
+        if (rest.count() == 0)
+        {
+            return {};
+        }
+        shortest = std::min(shortest, rest);
     }
     return shortest == milliseconds::max() ? milliseconds(0) : shortest;
 }
--- a/src/libcaraway/routing/upstream_directory.cpp
+++ b/src/libcaraway/routing/upstream_directory.cpp
@@ -21,7 +21,9 @@
     {
         return change::outdated;
     }
-    last_updates_[entry.id].process_start = entry.process_start;
+    auto& update = last_updates_[entry.id];
+    update.process_start = entry.process_start;
+    update.announced_leaving = update.announced_leaving && !restarted;
     deferred_removals_.erase(entry.id);
     auto& stored = entries_[entry.id];
     stored = entry;
@@ -32,7 +34,7 @@
     {
         leaving_.try_emplace(entry.id, entry.process_start, stamp.received);
     }
-    else if (!has_announced_leaving(entry))
+    else if (!update.announced_leaving)
     {
         leaving_.erase(entry.id);
     }
@@ -50,8 +52,7 @@
     {
         return removal::not_listed;
     }
-    const auto& entry = entries_.at(id);
-    if (in_grace(stamp.received) && !entry.draining && !has_announced_leaving(entry))
+    if (in_grace(stamp.received) && !entries_.at(id).draining && !has_announced_leaving(id))
     {
         deferred_removals_[id] = true;
         return removal::deferred;
@@ -133,8 +134,6 @@
                       return !entries_.contains(update.first) &&
                              update.second.received + options_.tombstone_retention <= now;
                   });
-    std::erase_if(announced_leaving_,
-                  [&](const auto& entry) { return !last_updates_.contains(entry.first); });
     return removed;
 }
 
@@ -172,26 +171,20 @@
 {
     // Also of an entry that was removed: an upstream may register again after an outage.
     const auto known = last_updates_.find(id);
-    if (known == last_updates_.end())
+    if (known == last_updates_.end() || known->second.announced_leaving)
     {
         return false;
     }
-    const auto process_start = known->second.process_start;
-    const auto [announced, added] = announced_leaving_.try_emplace(id, process_start);
-    if (!added && announced->second == process_start)
-    {
-        return false;
-    }
-    announced->second = process_start;
-    leaving_.try_emplace(id, process_start, now);
+    known->second.announced_leaving = true;
+    leaving_.try_emplace(id, known->second.process_start, now);
     usable_cache_.clear();
     return true;
 }
 
-bool upstream_directory::has_announced_leaving(const upstream& entry) const
+bool upstream_directory::has_announced_leaving(const base::upstream_id& id) const
 {
-    const auto announced = announced_leaving_.find(entry.id);
-    return announced != announced_leaving_.end() && announced->second == entry.process_start;
+    const auto known = last_updates_.find(id);
+    return known != last_updates_.end() && known->second.announced_leaving;
 }
 
 std::vector<leaving_upstream> upstream_directory::leaving(base::time_point now) const
@@ -298,7 +291,7 @@
     const auto reported = reported_leaving_.find(entry.id);
     const bool is_leaving =
         reported != reported_leaving_.end() && reported->second.first == entry.process_start;
-    return !entry.draining && !is_leaving && !has_announced_leaving(entry) &&
+    return !entry.draining && !is_leaving && !has_announced_leaving(entry.id) &&
            !zones_.contains(entry.zone);
 }
 
--- a/src/libcaraway/routing/upstream_directory.hpp
+++ b/src/libcaraway/routing/upstream_directory.hpp
@@ -187,7 +187,7 @@
     std::vector<base::upstream_id> apply_deferred_removals(base::time_point now);
     void remove_entry(const base::upstream_id& id, base::time_point now);
     bool is_usable(const upstream& entry) const;
-    bool has_announced_leaving(const upstream& entry) const;
+    bool has_announced_leaving(const base::upstream_id& id) const;
 
     /// The last update of an id. Kept as a tombstone after the entry's removal, until
     /// `tombstone_retention` after its receipt.
@@ -197,6 +197,8 @@
         /// The latest start of a process that was reported under the id.
         std::chrono::milliseconds process_start{};
         base::time_point received{};
+        /// That process announced in an answer that it is shutting down.
+        bool announced_leaving = false;
     };
 
     /// Records the update and returns true if it is newer than the last one; else returns false.
@@ -211,9 +213,6 @@
     /// own table, and by peers.
     leaving_times leaving_;
     leaving_times reported_leaving_;
-    /// Process starts of the incarnations that announced their leaving; kept as long as the last
-    /// update of the id.
-    std::map<base::upstream_id, std::chrono::milliseconds> announced_leaving_;
     drained_zones zones_;
     change_log changes_;
     /// The position in `changes_` for which the content hash was computed, and the hash.
--- a/src/libcaraway/scheduling/upstream_rests.cpp
+++ b/src/libcaraway/scheduling/upstream_rests.cpp
@@ -45,18 +45,18 @@
 
 bool upstream_rests::is_resting(const base::upstream_id& id, base::time_point now) const
 {
-    const auto found = rests_.find(id);
-    return found != rests_.end() && now < found->second.end;
+    return time_left(id, now).count() > 0;
 }
 
 std::chrono::milliseconds upstream_rests::time_left(const base::upstream_id& id,
                                                     base::time_point now) const
 {
-    if (!is_resting(id, now))
+    const auto found = rests_.find(id);
+    if (found == rests_.end() || now >= found->second.end)
     {
         return {};
     }
-    return std::chrono::ceil<std::chrono::milliseconds>(rests_.at(id).end - now);
+    return std::chrono::ceil<std::chrono::milliseconds>(found->second.end - now);
 }
 
 std::optional<base::time_point> upstream_rests::next_end(base::time_point now) const
