Router, Http: how old the known upstreams are at sending, and how long a connection took to open

They tell the incident's hypotheses apart: a late word (age), a late look (connect time, requests sent to upstreams already known to leave). No decision changed.

--- a/src/libcaraway/http/client_connection.cpp
+++ b/src/libcaraway/http/client_connection.cpp
@@ -137,6 +137,10 @@
 
 void client_connection::write()
 {
+    if (events_->sending)
+    {
+        events_->sending();
+    }
     write_started_ = true;
     boost::asio::async_write(socket_, boost::asio::buffer(request_),
                              [self = shared_from_this()](const auto& error, std::size_t)
--- a/src/libcaraway/http/client_connection.hpp
+++ b/src/libcaraway/http/client_connection.hpp
@@ -23,11 +23,13 @@
     truncated_answer,  ///< The response head arrived, the rest did not.
 };
 
-/// Callbacks of a call. `head` is called once, then `body` any number of times, then `end`.
+/// Callbacks of a call. `sending` is called right before the request is written: at once, or when the
+/// connection has been opened. `head` is called once, then `body` any number of times, then `end`.
 /// `failed` may be called at any point instead. No callback follows `end` or `failed`. Any of them
 /// may be null, and any may close the connection.
 struct call_events
 {
+    std::function<void()> sending;
     std::function<void(const response_head&)> head;
     std::function<void(std::string_view)> body;
     std::function<void()> end;
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -111,6 +111,11 @@
     /// peers may be stale.
     std::function<void()> receive_peer_updates = [] {
     };
+    /// The time since the store, or a peer that polls it, last confirmed the known upstreams.
+    std::function<base::duration()> upstreams_age = []
+    {
+        return base::duration::zero();
+    };
 
     base::time_point now() const
     {
@@ -148,6 +153,8 @@
     std::uint64_t overload_rejections = 0;
     /// Requests sent to upstreams during a rest that they had asked for.
     std::uint64_t requests_during_rest = 0;
+    /// Requests sent to upstreams that were known by then to take no new ones.
+    std::uint64_t requests_after_leaving = 0;
     /// Set on SIGTERM or SIGINT: new requests are rejected from this time on.
     std::optional<base::time_point> reject_from;
 
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -100,6 +100,10 @@
     {
         link_.receive_pending();
     };
+    core_.upstreams_age = [this]
+    {
+        return relay_.unconfirmed_for(core_.now());
+    };
     open_tables(platform_);
     watch_signals();
     core_.log.line("start", {{"router", addresses.name.str()},
--- a/src/libcaraway/router/daemon_peers.cpp
+++ b/src/libcaraway/router/daemon_peers.cpp
@@ -94,7 +94,9 @@
         return;
     }
     core_.log.line("store_source",
-                   {{"asks_store", polls_store}, {"revision", upstreams_->revision()}});
+                   {{"asks_store", polls_store},
+                    {"revision", upstreams_->revision()},
+                    {"upstreams_age_ms", to_milliseconds(core_.upstreams_age()).count()}});
     if (polls_store)
     {
         upstreams_->resume();
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -111,7 +111,8 @@
 http::call_events request_session::call_handlers(const std::shared_ptr<attempt>& current)
 {
     const auto self = shared_from_this();
-    return {.head = [self, current](const http::response_head& head)
+    return {.sending = [self, current] { self->on_sending(*current); },
+            .head = [self, current](const http::response_head& head)
             { self->on_head(*current, head); },
             .body = [self, current](std::string_view part) { self->on_body(*current, part); },
             .end = [self, current] { self->on_end(*current); },
@@ -122,6 +123,14 @@
             }};
 }
 
+void request_session::on_sending(attempt& current)
+{
+    last_connect_time_ = core_.now() - current.sent_at;
+    last_upstreams_age_ = core_.upstreams_age();
+    core_.requests_after_leaving +=
+        core_.directory.is_usable(current.placement.target.id) ? 0 : 1;
+}
+
 void request_session::on_head(attempt& current, const http::response_head& head)
 {
     current.head = head;
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -201,6 +201,8 @@
     if (last_placement_)
     {
         line["placed_ms"] = to_milliseconds(last_sent_at_ - request_->arrived()).count();
+        line["connect_ms"] = to_milliseconds(last_connect_time_).count();
+        line["upstreams_age_ms"] = to_milliseconds(last_upstreams_age_).count();
         line["wait_ms"] = last_placement_->wait.count();
         line["unread"] = last_placement_->load.pending_prefill_tokens;
         line["running"] = last_placement_->running;
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -56,6 +56,8 @@
 
     void send(routing::placement placement);
     http::call_events call_handlers(const std::shared_ptr<attempt>& current);
+    /// The request is about to be written.
+    void on_sending(attempt& current);
     void on_head(attempt& current, const http::response_head& head);
     void on_body(attempt& current, std::string_view part);
     void on_end(attempt& current);
@@ -145,6 +147,10 @@
     /// Placement of the last attempt, with the load that was assumed for the upstream.
     std::optional<routing::placement> last_placement_;
     base::time_point last_sent_at_{};
+    /// From there until the request was written: the time to open a connection.
+    base::duration last_connect_time_{};
+    /// Age of the known upstreams when the request was written.
+    base::duration last_upstreams_age_{};
 };
 
 }  // namespace caraway::router
--- a/src/libcaraway/routing/table_relay.hpp
+++ b/src/libcaraway/routing/table_relay.hpp
@@ -89,6 +89,11 @@
     /// The peer to copy from: one that polls the store and whose copy is newer and has other
     /// content. Empty if there is none.
     std::optional<base::node_id> source(base::time_point now) const;
+    /// The time since a poller or the store last confirmed this router's copy.
+    base::duration unconfirmed_for(base::time_point now) const
+    {
+        return now - last_confirmed_;
+    }
     /// Whether a call of this router to the store has failed within `avoid_period`.
     bool is_store_unreachable(base::time_point now) const;
 
--- a/src/libcaraway/routing/upstream_directory.cpp
+++ b/src/libcaraway/routing/upstream_directory.cpp
@@ -295,6 +295,12 @@
            !zones_.contains(entry.zone);
 }
 
+bool upstream_directory::is_usable(const base::upstream_id& id) const
+{
+    const auto* entry = find(id);
+    return entry != nullptr && is_usable(*entry);
+}
+
 const upstream* upstream_directory::find(const base::upstream_id& id) const
 {
     const auto found = entries_.find(id);
--- a/src/libcaraway/routing/upstream_directory.hpp
+++ b/src/libcaraway/routing/upstream_directory.hpp
@@ -163,6 +163,8 @@
     /// Upstreams of the service that take new requests. Valid until the directory's next change.
     const std::vector<const upstream*>& usable(const base::service_id& service) const;
     const upstream* find(const base::upstream_id& id) const;
+    /// Whether the upstream is known and takes new requests.
+    bool is_usable(const base::upstream_id& id) const;
     std::size_t size() const
     {
         return entries_.size();
