Relay, Digest, Peers: the age of what a router knows counts from the store's answer, and half of the notice is kept

Callers saw: a request at an upstream 3.57 s after it had said that it leaves (3 allowed). Cause: routers that rely on others trusted what they had for 0.8 of the notice, counted from when a confirmation was read. That was up to a digest period after the answer that it tells of, and later where it lay in a busy router's socket; 2.8 to 3.1 s in all, and nothing was left for a request's own way. Class: parts of one bound measured from different moments, whose sum exceeds it. Change: digests and copies carry the age of the store's answer; a digest counts from the earliest moment at which it can have arrived; pollers count as cut off after 0.5 of the notice (0.6), an unconfirmed router asks the store itself after 0.5 (0.8); pollers tell their zone every 0.15 of the notice however large the fleet is; the store holds their calls for 0.2 (0.3, and 1.5 s outside shared zones).

--- a/src/libcaraway/router/daemon_peers.cpp
+++ b/src/libcaraway/router/daemon_peers.cpp
@@ -89,6 +89,8 @@
     announce_changes(own_state.content_hash);
     const bool polls_store = relay_.should_poll_store(now);
     choose_configuration_source(polls_store);
+    peers_.set_max_zone_period(polls_store ? std::optional(relay_.max_digest_period())
+                                           : std::nullopt);
     if (polls_store != upstreams_->is_paused())
     {
         return;
@@ -130,7 +132,8 @@
             .store_unreachable = relay_.is_store_unreachable(core_.now()),
             .answer_count = upstreams_->answers(),
             .revision = upstreams_->revision(),
-            .content_hash = core_.directory.content_hash()};
+            .content_hash = core_.directory.content_hash(),
+            .answer_age = to_milliseconds(core_.now() - upstreams_->last_answer())};
 }
 
 void daemon::announce_changes(std::uint64_t mark)
--- a/src/libcaraway/router/daemon_tables.cpp
+++ b/src/libcaraway/router/daemon_tables.cpp
@@ -34,10 +34,8 @@
 /// in flight.
 constexpr std::size_t routers_per_slowdown = 20;
 constexpr double max_gap_fraction = 0.6;
-/// Where few routers poll for their whole zone, the hold is a fraction of the same time, so that
-/// the others notice early enough when answers stop (routing/table_relay), and each change is
-/// passed on at once.
-constexpr double shared_hold_fraction = 0.3;
+/// Where few routers poll for their whole zone, they are told of each change at once, and notice
+/// early enough when answers stop (routing/table_relay).
 constexpr milliseconds shared_gap{200};
 constexpr milliseconds max_hold{2500};
 /// Calls for the configuration by a router that copies upstreams from its peers: the hold, which is
@@ -161,12 +159,9 @@
     const auto slowdown = static_cast<int>(1 + routers / routers_per_slowdown);
     const auto notice_ms = static_cast<double>(core_.options.leaving_notice.count());
     const milliseconds max_gap(static_cast<std::int64_t>(max_gap_fraction * notice_ms));
-    const milliseconds hold(static_cast<std::int64_t>(shared_hold_fraction * notice_ms));
-    upstreams_->set_pace(std::min(upstreams_gap * slowdown, max_gap), upstreams_hold);
-    if (relay_.is_shared(core_.now()))
-    {
-        upstreams_->set_pace(shared_gap, std::min(upstreams_hold, hold));
-    }
+    const bool is_shared = relay_.is_shared(core_.now());
+    upstreams_->set_pace(is_shared ? shared_gap : std::min(upstreams_gap * slowdown, max_gap),
+                         std::min(upstreams_hold, to_milliseconds(relay_.max_hold())));
     // A router that receives updates from peers may be late in detecting that its connection to the
     // store is broken, or that the store has recovered.
     const bool is_passive = upstreams_->is_paused();
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include <utility>
+
 namespace caraway::router
 {
 
@@ -45,6 +47,7 @@
                                                              ": " + error.message() + ".");
     }
     local.port = socket_.local_endpoint(error).port();
+    last_receive_ = core_.now();
     receive();
     return base::success();
 }
@@ -131,7 +134,7 @@
 
 void peer_link::receive_all()
 {
-    last_receive_ = core_.now();
+    previous_receive_ = std::exchange(last_receive_, core_.now());
     udp::endpoint sender;
     boost::system::error_code error;
     for (std::size_t count = 0; count < max_datagrams_at_once; ++count)
@@ -177,7 +180,7 @@
     }
     if (received.zone == core_.options.zone)
     {
-        relay_.record_peer(received.sender, received.capacity, received.tables, now);
+        relay_.record_peer(received.sender, received.capacity, received.tables, previous_receive_);
     }
     for (const auto& each : received.leaving)
     {
--- a/src/libcaraway/router/peer_link.hpp
+++ b/src/libcaraway/router/peer_link.hpp
@@ -75,6 +75,8 @@
     std::map<std::pair<std::string, std::uint16_t>, copy_position> copy_positions_;
     udp::socket socket_;
     base::time_point last_receive_{};
+    /// The read before that: the datagrams being processed arrived after it.
+    base::time_point previous_receive_{};
     std::size_t unanswered_ = 0;
     std::uint64_t digests_received_ = 0;
     std::array<char, 65536> buffer_{};
--- a/src/libcaraway/router/table_copy.cpp
+++ b/src/libcaraway/router/table_copy.cpp
@@ -37,6 +37,7 @@
                 {"upstreams", upstreams},
                 {"revision", copy.state.revision},
                 {"mark", copy.state.content_hash},
+                {"answer_age_ms", copy.state.answer_age.count()},
                 {"zones", routing::zone_updates_json(copy.zones)},
                 {"routers", routers}}
         .dump(-1, ' ', false, json::error_handler_t::replace);
@@ -56,7 +57,9 @@
                 base::config_version{object.at("configuration_version").get<std::uint64_t>()},
             .partial = object.at("partial").get<bool>(),
             .state = {.revision = object.at("revision").get<std::uint64_t>(),
-                      .content_hash = object.at("mark").get<std::uint64_t>()},
+                      .content_hash = object.at("mark").get<std::uint64_t>(),
+                      .answer_age = std::chrono::milliseconds(
+                          object.value("answer_age_ms", std::int64_t{0}))},
             .zones = routing::parse_zone_updates(object.at("zones"))};
         for (const auto& each : object.at("upstreams"))
         {
--- a/src/libcaraway/router/table_sync.cpp
+++ b/src/libcaraway/router/table_sync.cpp
@@ -99,6 +99,7 @@
         return;
     }
     ++answers_;
+    last_answer_ = now;
     const bool was_lost = follower_.lost();
     if (was_lost || !follower_.has_read())
     {
--- a/src/libcaraway/router/table_sync.hpp
+++ b/src/libcaraway/router/table_sync.hpp
@@ -53,6 +53,11 @@
     {
         return answers_;
     }
+    /// When the store last answered.
+    base::time_point last_answer() const
+    {
+        return last_answer_;
+    }
     std::uint64_t revision() const
     {
         return follower_.revision();
@@ -86,6 +91,7 @@
     events events_;
     base::time_point fresh_since_{};
     std::uint64_t answers_ = 0;
+    base::time_point last_answer_{};
     bool paused_ = false;
     /// A call is in flight, or a timer is set for the next.
     bool call_pending_ = false;
--- a/src/libcaraway/routing/digest.cpp
+++ b/src/libcaraway/routing/digest.cpp
@@ -153,16 +153,20 @@
 json tables_json(const table_state& state)
 {
     return json::array({state.polls_store, state.store_unreachable, state.answer_count,
-                        state.revision, state.content_hash});
+                        state.revision, state.content_hash, state.answer_age.count()});
 }
 
 table_state parse_tables(const json& encoded)
 {
+    constexpr std::size_t answer_age_position = 5;
+    const bool has_answer_age = encoded.size() > answer_age_position;
     return {.polls_store = encoded.at(0).get<bool>(),
             .store_unreachable = encoded.at(1).get<bool>(),
             .answer_count = encoded.at(2).get<std::uint64_t>(),
             .revision = encoded.at(3).get<std::uint64_t>(),
-            .content_hash = encoded.at(4).get<std::uint64_t>()};
+            .content_hash = encoded.at(4).get<std::uint64_t>(),
+            .answer_age = std::chrono::milliseconds(
+                has_answer_age ? encoded.at(answer_age_position).get<std::int64_t>() : 0)};
 }
 
 json leaving_json(const std::vector<leaving_upstream>& leaving)
--- a/src/libcaraway/routing/peer_table.cpp
+++ b/src/libcaraway/routing/peer_table.cpp
@@ -109,8 +109,8 @@
     std::vector<endpoint> due;
     for (auto& [id, each] : peers_)
     {
-        const auto pause =
-            is_reachable(each, now) ? digest_period() - send_tolerance : options_.probe_period;
+        const auto pause = is_reachable(each, now) ? period_to(each) - send_tolerance
+                                                   : base::duration(options_.probe_period);
         if (each.last_sent + pause <= now)
         {
             each.last_sent = now;
@@ -120,6 +120,13 @@
     return due;
 }
 
+base::duration peer_table::period_to(const peer& receiver) const
+{
+    const base::duration period = digest_period();
+    const bool is_limited = max_zone_period_ && receiver.zone == zone_;
+    return is_limited ? std::min(period, *max_zone_period_) : period;
+}
+
 std::vector<endpoint> peer_table::reachable_in_zone(base::time_point now) const
 {
     std::vector<endpoint> out;
--- a/src/libcaraway/routing/peer_table.hpp
+++ b/src/libcaraway/routing/peer_table.hpp
@@ -92,6 +92,12 @@
     /// Datagram addresses of the peers that a digest is due to now: reachable ones each digest
     /// period, unreachable ones each probe period. Marks the digests as sent.
     std::vector<endpoint> take_due(base::time_point now);
+    /// Digests to peers of this zone are sent at least this often, however large the fleet is;
+    /// empty: as often as to all peers.
+    void set_max_zone_period(std::optional<base::duration> period)
+    {
+        max_zone_period_ = period;
+    }
 
     /// Datagram addresses of the reachable peers in this router's zone.
     std::vector<endpoint> reachable_in_zone(base::time_point now) const;
@@ -139,6 +145,8 @@
 private:
     bool is_isolated(base::time_point now) const;
     std::chrono::milliseconds reachable_time() const;
+    /// Time between two digests to this peer.
+    base::duration period_to(const peer& receiver) const;
     const peer* pick_random(std::vector<const peer*> candidates, double random_unit) const;
     /// Removes overloaded routers, unless less than half or just half of the routers would remain.
     void remove_overloaded(std::vector<const peer*>& routers) const;
@@ -147,6 +155,7 @@
     base::node_id self_;
     base::zone_id zone_;
     peer_options options_;
+    std::optional<base::duration> max_zone_period_;
     std::map<base::node_id, peer> peers_;
 };
 
--- a/src/libcaraway/routing/table_relay.cpp
+++ b/src/libcaraway/routing/table_relay.cpp
@@ -33,28 +33,33 @@
 }
 
 void table_relay::record_peer(const base::node_id& peer, double capacity, const table_state& state,
-                              base::time_point now)
+                              base::time_point received)
 {
     const auto [position, inserted] = peers_.try_emplace(peer);
     auto& known = position->second;
     const bool has_new_answer = inserted || state.answer_count != known.state.answer_count;
     known.capacity = capacity;
     known.state = state;
-    known.last_digest = now;
+    known.last_digest = received;
     if (has_new_answer)
     {
-        known.last_answer = now;
+        known.last_answer = received - state.answer_age;
     }
-    const bool confirms_copy = is_source(known, now) && has_new_answer &&
+    const bool confirms_copy = is_source(known, received) && has_new_answer &&
                                state.content_hash == copy_.content_hash &&
                                state.revision >= copy_.revision;
     if (confirms_copy)
     {
         copy_.revision = state.revision;
-        last_confirmed_ = now;
+        confirm(known.last_answer);
     }
 }
 
+void table_relay::confirm(base::time_point answered)
+{
+    last_confirmed_ = std::max(last_confirmed_, answered);
+}
+
 void table_relay::set_own_state(double capacity, const table_state& state, bool has_read,
                                 base::time_point now)
 {
@@ -66,7 +71,7 @@
     }
     if (state.answer_count != copy_.answer_count)
     {
-        last_confirmed_ = now;
+        confirm(now - state.answer_age);
     }
     copy_ = state;
     copy_source_ = self_;
@@ -82,7 +87,7 @@
 {
     copy_ = state;
     copy_source_ = from;
-    last_confirmed_ = now;
+    confirm(now - state.answer_age);
 }
 
 void table_relay::wait_for_peers(base::time_point now)
@@ -105,7 +110,7 @@
     }
     const auto waited = now - *waiting_since_;
     const bool is_confirmed =
-        now - last_confirmed_ <= fraction_of_notice(options_.unconfirmed_fraction);
+        now - last_confirmed_ <= fraction_of_notice(options_.settling_unconfirmed_fraction);
     return has_read_ ? is_confirmed && waited < options_.settling_period
                      : waited < options_.initial_copy_timeout;
 }
@@ -170,7 +175,8 @@
     std::size_t preceding = 0;
     for (const auto& [id, peer] : peers_)
     {
-        const bool is_silent = now - peer.last_digest > fraction_of_notice(options_.stale_fraction);
+        const bool is_silent =
+            now - peer.last_digest > fraction_of_notice(options_.silent_fraction);
         const bool is_deprioritized = peer.state.store_unreachable || is_stale(peer, now);
         preceding +=
             !is_silent && poller_order_of(id, is_deprioritized, peer.capacity) < own ? 1 : 0;
@@ -183,7 +189,7 @@
     return static_cast<std::size_t>(std::count_if(
         peers_.begin(), peers_.end(),
         [&](const auto& peer)
-        { return now - peer.second.last_digest <= fraction_of_notice(options_.stale_fraction); }));
+        { return now - peer.second.last_digest <= fraction_of_notice(options_.silent_fraction); }));
 }
 
 base::duration table_relay::fraction_of_notice(double fraction) const
--- a/src/libcaraway/routing/table_relay.hpp
+++ b/src/libcaraway/routing/table_relay.hpp
@@ -20,13 +20,20 @@
     std::size_t min_shared_routers = 5;
     /// How long a leaving upstream still serves. Each router must know of it within this time.
     std::chrono::milliseconds leaving_notice{2000};
-    /// A poller that has reported no new answer for this fraction of the notice is considered cut
-    /// off, frozen or dead, and the next router in the order polls. The store holds a long-polling
-    /// call for half of that time.
-    double stale_fraction = 0.6;
-    /// A router whose copy has not been confirmed for this fraction of the notice polls the store
-    /// regardless of its rank; the rest of the notice is for the call.
-    double unconfirmed_fraction = 0.8;
+    /// A router without a digest for this fraction of the notice is considered dead.
+    double silent_fraction = 0.6;
+    /// A poller whose last answer is older than this fraction of the notice is considered cut off
+    /// or frozen, and the next router in the order polls.
+    double stale_fraction = 0.5;
+    /// A router whose copy was confirmed longer ago than this fraction of the notice polls the
+    /// store regardless of its rank. The rest of the notice is for the call, for telling the
+    /// others, and for requests on their way through a router on an overloaded VM.
+    double unconfirmed_fraction = 0.5;
+    /// The maximum time between two digests of a poller to a router that relies on it, and for
+    /// which the store holds a poller's call, as fractions of the notice. Together they stay
+    /// below `stale_fraction`, with the gap between two calls.
+    double digest_fraction = 0.15;
+    double hold_fraction = 0.2;
     /// How long a router that couldn't reach the store is ordered behind the others.
     std::chrono::milliseconds avoid_period{5000};
     /// How long a starting router waits for a copy from the seed routers in its settings before it
@@ -36,6 +43,8 @@
     /// enough peers of its zone to tell which of them poll. Starting routers discover each other
     /// within a few copies.
     std::chrono::milliseconds settling_period{4000};
+    /// As `unconfirmed_fraction`, for such a router.
+    double settling_unconfirmed_fraction = 0.8;
 };
 
 /// The state of a router's copy of the platform's tables, as reported in its digests.
@@ -51,6 +60,8 @@
     std::uint64_t revision = 0;
     /// A hash of the copy's upstreams: equal copies have equal hashes.
     std::uint64_t content_hash = 0;
+    /// Time since the store's last answer, when the state was sent.
+    std::chrono::milliseconds answer_age{};
 
     friend bool operator==(const table_state&, const table_state&) = default;
 };
@@ -71,14 +82,26 @@
     void wait_for_peers(base::time_point now);
     /// Called when none of the seed routers answers.
     void stop_waiting_for_peers();
-    /// Records the state of a peer's copy, from a digest of a router in the same zone.
+    /// Records the state of a peer's copy, from a digest of a router in the same zone. `received`
+    /// is the earliest time at which the digest can have arrived: one that waits in a busy
+    /// router's socket confirms less than it seems to.
     void record_peer(const base::node_id& peer, double capacity, const table_state& state,
-                     base::time_point now);
+                     base::time_point received);
     /// The state of this router's own copy. `has_read` is true once the router has all tables.
     void set_own_state(double capacity, const table_state& state, bool has_read,
                        base::time_point now);
     /// This router's call to the store failed.
     void record_store_unreachable(base::time_point now);
+    /// The maximum time between two digests to this zone while this router polls the store.
+    base::duration max_digest_period() const
+    {
+        return fraction_of_notice(options_.digest_fraction);
+    }
+    /// How long the store may hold a call of this router if the zone is shared.
+    base::duration max_hold() const
+    {
+        return fraction_of_notice(options_.hold_fraction);
+    }
     /// This router has replaced its copy by that of a peer.
     void record_copy(const base::node_id& from, const table_state& state, base::time_point now);
 
@@ -103,10 +126,12 @@
         double capacity = 1;
         table_state state;
         base::time_point last_digest{};
-        /// When the peer last reported a new answer of the store.
+        /// When the store last answered the peer.
         base::time_point last_answer{};
     };
 
+    /// An answer of the store at this time confirmed the copy.
+    void confirm(base::time_point answered);
     bool is_stale(const peer_state& peer, base::time_point now) const;
     bool is_source(const peer_state& peer, base::time_point now) const;
     std::size_t rank(base::time_point now) const;
@@ -122,7 +147,8 @@
     /// The state of the copy that this router holds, and the router it came from.
     table_state copy_;
     base::node_id copy_source_;
-    /// When a poller or the store last confirmed that the copy is current.
+    /// The time of the last answer of the store, to this router or a poller, that confirmed the
+    /// copy.
     base::time_point last_confirmed_{};
     std::optional<base::time_point> last_store_failure_;
     /// When this router began to wait for peers.
--- a/tests/leaving_notice/test_late_word.cpp
+++ b/tests/leaving_notice/test_late_word.cpp
@@ -38,6 +38,8 @@
     milliseconds turn = tick_period;
     bool cut_off_from_store = false;
     base::time_point last_answer = start;
+    base::time_point next_answer = start;
+    base::time_point last_read = start;
     std::vector<std::pair<base::node_id, table_state>> socket;
     std::optional<base::time_point> learned;
 };
@@ -88,6 +90,7 @@
     {
         ++each.state.answer_count;
         each.last_answer = now;
+        each.next_answer = now + answer_period;
         if (left)
         {
             learn(each);
@@ -105,13 +108,20 @@
         }
     }
 
+    table_state state_of(const router& each) const
+    {
+        auto state = each.state;
+        state.answer_age = std::chrono::duration_cast<milliseconds>(now - each.last_answer);
+        return state;
+    }
+
     void send_digests(const router& from)
     {
         for (auto& each : routers)
         {
             if (each.id != from.id)
             {
-                each.socket.emplace_back(from.id, from.state);
+                each.socket.emplace_back(from.id, state_of(from));
             }
         }
     }
@@ -123,23 +133,27 @@
             const auto& sender = *std::find_if(routers.begin(), routers.end(),
                                                [&sender_id = id](const auto& other)
                                                { return other.id == sender_id; });
-            each.relay.record_peer(id, capacity(sender), state, now);
+            each.relay.record_peer(id, capacity(sender), state, each.last_read);
             if (state.content_hash == 2)
             {
                 learn(each);
             }
         }
         each.socket.clear();
+        each.last_read = now;
     }
 
     void work(router& each)
     {
         read_socket(each);
-        each.relay.set_own_state(capacity(each), each.state, true, now);
+        each.relay.set_own_state(capacity(each), state_of(each), true, now);
         const bool polled = each.state.polls_store;
         each.state.polls_store = each.relay.should_poll_store(now);
-        // Its first call takes a turn to connect.
-        each.last_answer = polled ? each.last_answer : now + each.turn - answer_period;
+        if (each.state.polls_store && !polled)
+        {
+            // The connection is opened in one turn, the answer read in the next.
+            each.next_answer = now + 2 * each.turn;
+        }
     }
 
     void step()
@@ -151,8 +165,8 @@
             {
                 work(each);
             }
-            const bool answered = each.state.polls_store && !each.cut_off_from_store &&
-                                  now - each.last_answer >= answer_period;
+            const bool answered =
+                each.state.polls_store && !each.cut_off_from_store && now >= each.next_answer;
             if (answered)
             {
                 poll_store(each);
