Relay: the store holds a poller's calls for a tenth of the notice

Cause: at 0.2 of the notice a quiet table's answers were up to 0.8 s old where 1.0 s makes a router ask the store itself; beside builds and a play (load 7) a start of 24 routers made 118 calls of 81 allowed.

Http, Router: whether an upstream still takes requests is looked at again when a connection was opened for one

Cause: the state was looked at when a request is placed only; opening a connection takes two turns of the event loop, up to seconds on an overloaded VM. The request is placed anew now, without an attempt or a retry being counted.

--- a/src/libcaraway/http/client_connection.cpp
+++ b/src/libcaraway/http/client_connection.cpp
@@ -120,6 +120,11 @@
                               }
                               self->open_ = true;
                               self->set_socket_options();
+                              if (self->events_->opened && !self->events_->opened())
+                              {
+                                  self->fail(call_failure::withheld);
+                                  return;
+                              }
                               self->write();
                               self->read();
                           });
@@ -137,10 +142,6 @@
 
 void client_connection::write()
 {
-    if (events_->sending)
-    {
-        events_->sending();
-    }
     write_started_ = true;
     boost::asio::async_write(socket_, boost::asio::buffer(request_),
                              [self = shared_from_this()](const auto& error, std::size_t)
@@ -322,9 +323,13 @@
 void client_connection::fail()
 {
     const bool head = head_seen_ && !skipping_;
-    const auto failure = head             ? call_failure::truncated_answer
-                         : write_started_ ? call_failure::no_answer
-                                          : call_failure::not_connected;
+    fail(head             ? call_failure::truncated_answer
+         : write_started_ ? call_failure::no_answer
+                          : call_failure::not_connected);
+}
+
+void client_connection::fail(call_failure failure)
+{
     const auto events = events_;
     close();
     if (events && events->failed)
--- a/src/libcaraway/http/client_connection.hpp
+++ b/src/libcaraway/http/client_connection.hpp
@@ -18,18 +18,19 @@
 /// Why a call did not get a complete answer.
 enum class call_failure
 {
-    not_connected,     ///< No byte of the request was sent.
+    not_connected,     ///< No connection could be opened; no byte of the request was sent.
+    withheld,          ///< `opened` returned false; no byte of the request was sent.
     no_answer,         ///< The request was sent at least in part; no response head arrived.
     truncated_answer,  ///< The response head arrived, the rest did not.
 };
 
-/// Callbacks of a call. `sending` is called right before the request is written: at once, or when the
-/// connection has been opened. `head` is called once, then `body` any number of times, then `end`.
-/// `failed` may be called at any point instead. No callback follows `end` or `failed`. Any of them
-/// may be null, and any may close the connection.
+/// Callbacks of a call. `opened` is called when a connection was opened for the call, and returns
+/// whether to send the request on it. `head` is called once, then `body` any number of times, then
+/// `end`. `failed` may be called at any point instead. No callback follows `end` or `failed`. Any
+/// of them may be null, and any may close the connection.
 struct call_events
 {
-    std::function<void()> sending;
+    std::function<bool()> opened;
     std::function<void(const response_head&)> head;
     std::function<void(std::string_view)> body;
     std::function<void()> end;
@@ -96,6 +97,7 @@
     void complete();
     void on_end_of_stream(const boost::system::error_code& error);
     void fail();
+    void fail(call_failure failure);
 
     tcp::socket socket_;
     timer_queue& timers_;
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -153,8 +153,8 @@
     std::uint64_t overload_rejections = 0;
     /// Requests sent to upstreams during a rest that they had asked for.
     std::uint64_t requests_during_rest = 0;
-    /// Requests sent to upstreams that were known by then to take no new ones.
-    std::uint64_t requests_after_leaving = 0;
+    /// Requests not sent, as their upstreams left after the placement.
+    std::uint64_t requests_withheld = 0;
     /// Set on SIGTERM or SIGINT: new requests are rejected from this time on.
     std::optional<base::time_point> reject_from;
 
--- a/src/libcaraway/router/daemon_answers.cpp
+++ b/src/libcaraway/router/daemon_answers.cpp
@@ -132,12 +132,13 @@
     set_gauge("caraway_requests_during_rest",
               "Requests sent to upstreams during a rest that they had asked for, in total.",
               static_cast<double>(core_.requests_during_rest));
-    set_gauge("caraway_upstreams_age_seconds",
-              "Time since the store, or a router that polls it, last confirmed the known upstreams.",
-              std::chrono::duration<double>(core_.upstreams_age()).count());
-    set_gauge("caraway_requests_after_leaving",
-              "Requests sent to upstreams known by then to take no new ones, in total.",
-              static_cast<double>(core_.requests_after_leaving));
+    set_gauge(
+        "caraway_upstreams_age_seconds",
+        "Time since the store, or a router that polls it, last confirmed the known upstreams.",
+        std::chrono::duration<double>(core_.upstreams_age()).count());
+    set_gauge("caraway_requests_withheld",
+              "Requests not sent, as their upstreams left after the placement, in total.",
+              static_cast<double>(core_.requests_withheld));
     set_gauge("caraway_zones_drained",
               "Drained availability zones: upstreams there get nothing new.",
               static_cast<double>(core_.directory.zones().drained_count()));
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -27,6 +27,8 @@
     {
     case http::call_failure::not_connected:
         return attempt_outcome::unreachable;
+    case http::call_failure::withheld:
+        return attempt_outcome::withheld;
     case http::call_failure::no_answer:
         return attempt_outcome::unknown;
     case http::call_failure::truncated_answer:
@@ -47,6 +49,8 @@
         return scheduling::attempt_result::refused;
     case attempt_outcome::unreachable:
         return scheduling::attempt_result::unreachable;
+    case attempt_outcome::withheld:
+        return scheduling::attempt_result::refused;
     case attempt_outcome::upstream_error:
     case attempt_outcome::unknown:
     case attempt_outcome::truncated:
@@ -79,6 +83,8 @@
     attempt_ = std::make_shared<attempt>();
     last_placement_ = placement;
     last_sent_at_ = now;
+    last_connect_time_ = {};
+    last_upstreams_age_ = core_.upstreams_age();
     attempt_->placement = std::move(placement);
     core_.track_in_flight(id, *this);
     attempt_->sent_at = now;
@@ -111,7 +117,7 @@
 http::call_events request_session::call_handlers(const std::shared_ptr<attempt>& current)
 {
     const auto self = shared_from_this();
-    return {.sending = [self, current] { self->on_sending(*current); },
+    return {.opened = [self, current] { return self->on_opened(*current); },
             .head = [self, current](const http::response_head& head)
             { self->on_head(*current, head); },
             .body = [self, current](std::string_view part) { self->on_body(*current, part); },
@@ -123,12 +129,17 @@
             }};
 }
 
-void request_session::on_sending(attempt& current)
+bool request_session::on_opened(attempt& current)
 {
+    core_.receive_peer_updates();
     last_connect_time_ = core_.now() - current.sent_at;
     last_upstreams_age_ = core_.upstreams_age();
-    core_.requests_after_leaving +=
-        core_.directory.is_usable(current.placement.target.id) ? 0 : 1;
+    if (!core_.directory.is_usable(current.placement.target.id))
+    {
+        ++core_.requests_withheld;
+        return false;
+    }
+    return true;
 }
 
 void request_session::on_head(attempt& current, const http::response_head& head)
@@ -261,7 +272,7 @@
     {
         core_.record_unreachable(current.placement.target.id);
     }
-    else
+    else if (failure != http::call_failure::withheld)
     {
         core_.record_lost_connection(current.placement.target.id, fingerprint());
     }
@@ -301,10 +312,12 @@
             core_.pool.close_all(id);
         }
     }
-    if (outcome == attempt_outcome::unreachable && last)
+    const bool unsent =
+        outcome == attempt_outcome::unreachable || outcome == attempt_outcome::withheld;
+    if (unsent && last)
     {
         --attempts_sent_;
-        ++unreachable_attempts_;
+        ++unsent_attempts_;
     }
     const bool attempt_may_have_run = outcome == attempt_outcome::unknown ||
                                       outcome == attempt_outcome::truncated ||
@@ -315,13 +328,12 @@
                                  .partly_delivered = answer_begun_,
                                  .sent = attempts_sent_,
                                  .max_sent = route_->max_attempts,
-                                 .unreachable = unreachable_attempts_,
+                                 .unsent = unsent_attempts_,
                                  .may_have_run = may_have_run_,
                                  .has_time_left = last && time_left() > min_time_left};
     auto step = routing::decide(outcome, state);
     const bool is_retry = step == next_step::retry || step == next_step::resume;
-    if (is_retry && outcome != attempt_outcome::unreachable &&
-        !core_.retries.take_retry(service_->id, core_.now()))
+    if (is_retry && !unsent && !core_.retries.take_retry(service_->id, core_.now()))
     {
         state.max_sent = state.sent;
         step = routing::decide(outcome, state);
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -56,8 +56,8 @@
 
     void send(routing::placement placement);
     http::call_events call_handlers(const std::shared_ptr<attempt>& current);
-    /// The request is about to be written.
-    void on_sending(attempt& current);
+    /// A connection was opened for the request. Returns whether its upstream still takes it.
+    bool on_opened(attempt& current);
     void on_head(attempt& current, const http::response_head& head);
     void on_body(attempt& current, std::string_view part);
     void on_end(attempt& current);
@@ -125,9 +125,9 @@
     std::optional<routing::wait_id> wait_id_;
     std::shared_ptr<attempt> attempt_;
     std::vector<base::upstream_id> tried_;
-    /// Attempts that reached an upstream; those without a connection count as unreachable.
+    /// Attempts that reached an upstream, and those of which nothing was sent.
     std::uint32_t attempts_sent_ = 0;
-    std::uint32_t unreachable_attempts_ = 0;
+    std::uint32_t unsent_attempts_ = 0;
     bool may_have_run_ = false;
     /// No upstream was found, and one with room was skipped because it is cold.
     bool skipped_cold_upstream_ = false;
--- a/src/libcaraway/routing/attempt_policy.cpp
+++ b/src/libcaraway/routing/attempt_policy.cpp
@@ -6,15 +6,15 @@
 namespace
 {
 
-/// Failed connections after which a request is refused: enough to skip the dead upstreams of a
-/// zone, few enough to stay well within the latency target.
-constexpr std::uint32_t max_connect_failures = 3;
+/// Attempts without anything sent after which a request is refused: enough to skip the dead
+/// upstreams of a zone, few enough to stay well within the latency target.
+constexpr std::uint32_t max_unsent_attempts = 3;
 
 next_step step_if_not_run(attempt_outcome outcome, const attempt_state& state)
 {
-    const bool unsent = outcome == attempt_outcome::unreachable;
-    const bool allowed =
-        unsent ? state.unreachable < max_connect_failures : state.sent < state.max_sent;
+    const bool unsent =
+        outcome == attempt_outcome::unreachable || outcome == attempt_outcome::withheld;
+    const bool allowed = unsent ? state.unsent < max_unsent_attempts : state.sent < state.max_sent;
     if (state.has_time_left && allowed)
     {
         return state.partly_delivered ? next_step::resume : next_step::retry;
@@ -52,6 +52,8 @@
         return "other_instance";
     case attempt_outcome::unreachable:
         return "unreachable";
+    case attempt_outcome::withheld:
+        return "withheld";
     case attempt_outcome::unknown:
         return "unknown";
     case attempt_outcome::truncated:
@@ -97,6 +99,7 @@
     case attempt_outcome::refused:
     case attempt_outcome::other_instance:
     case attempt_outcome::unreachable:
+    case attempt_outcome::withheld:
         return step_if_not_run(outcome, state);
     case attempt_outcome::unknown:
     case attempt_outcome::truncated:
--- a/src/libcaraway/routing/attempt_policy.hpp
+++ b/src/libcaraway/routing/attempt_policy.hpp
@@ -13,6 +13,7 @@
     refused,         ///< The upstream states that it did not and will not run the request.
     other_instance,  ///< Another instance uses the address; the request was not run.
     unreachable,     ///< The connection could not be made; nothing was sent.
+    withheld,        ///< The upstream left before the request was written; nothing was sent.
     unknown,         ///< Sent, but no matching answer was received; it may have run.
     truncated,       ///< The answer began and ended prematurely.
 };
@@ -32,8 +33,8 @@
     /// Upstreams that the request was sent to, the latest included, and the maximum number of them.
     std::uint32_t sent = 0;
     std::uint32_t max_sent = 1;
-    /// Connections that failed before anything was sent, the latest included.
-    std::uint32_t unreachable = 0;
+    /// Attempts that ended before anything was sent, the latest included.
+    std::uint32_t unsent = 0;
     /// The request may have run at an upstream, in this attempt or an earlier one.
     bool may_have_run = false;
     /// Enough time is left before the caller's deadline for another attempt.
--- a/src/libcaraway/routing/table_relay.hpp
+++ b/src/libcaraway/routing/table_relay.hpp
@@ -33,7 +33,7 @@
     /// which the store holds a poller's call, as fractions of the notice. Together they stay
     /// below `stale_fraction`, with the gap between two calls.
     double digest_fraction = 0.15;
-    double hold_fraction = 0.2;
+    double hold_fraction = 0.1;
     /// How long a router that couldn't reach the store is ordered behind the others.
     std::chrono::milliseconds avoid_period{5000};
     /// How long a starting router waits for a copy from the seed routers in its settings before it
--- a/tests/routing/test_attempt_policy.cpp
+++ b/tests/routing/test_attempt_policy.cpp
@@ -27,7 +27,7 @@
                                 .partly_delivered = (bits & 4U) != 0,
                                 .sent = sent,
                                 .max_sent = 2,
-                                .unreachable = sent,
+                                .unsent = sent,
                                 .may_have_run = (bits & 8U) != 0,
                                 .has_time_left = (bits & 16U) != 0};
             check(state);
