Peers, Router: after it stood still a router waits for a new digest before it places requests

Cause: the VM stood still for 4.2 s; its socket holds about one second of digests and drops the newest (174 were read of some 640), so what was read at the end was from before the fleet had heard. Requests that lay in the VM's sockets were placed on that at once. Change: after more than a second without a look at the socket, placements wait for the next digest, 500 ms at most; a connection that opens then isn't used either.

--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -108,8 +108,10 @@
     /// Uniform in [0, 1).
     double random_unit();
     /// Processes datagrams of peers that are still unread in the socket, if the state known from
-    /// peers may be stale.
-    std::function<void()> receive_peer_updates = [] {
+    /// peers may be stale. Returns false if it is stale nevertheless, until the next digest.
+    std::function<bool()> receive_peer_updates = []
+    {
+        return true;
     };
     /// The time since the store, or a peer that polls it, last confirmed the known upstreams.
     std::function<base::duration()> upstreams_age = []
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -98,7 +98,7 @@
     BOOST_OUTCOME_TRY(link_.open(addresses.datagrams));
     core_.receive_peer_updates = [this]
     {
-        link_.receive_pending();
+        return link_.receive_pending();
     };
     core_.upstreams_age = [this]
     {
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -19,6 +19,13 @@
 /// More than a router of the largest fleets receives within a second (160).
 constexpr std::size_t max_datagrams_at_once = 256;
 
+/// The socket's buffer holds the datagrams of about this time; of those that arrive later, the
+/// newest are lost.
+constexpr std::chrono::milliseconds max_unread_time{1000};
+
+/// How long a newer digest is awaited after that. In a fleet of any size several arrive meanwhile.
+constexpr std::chrono::milliseconds max_digest_wait{500};
+
 /// A peer answers from memory; one that takes longer is overloaded or failing.
 constexpr std::chrono::milliseconds copy_timeout{500};
 
@@ -124,17 +131,30 @@
     }
 }
 
-void peer_link::receive_pending()
+bool peer_link::receive_pending()
 {
     if (core_.now() - last_receive_ >= max_receive_gap)
     {
         receive_all();
     }
+    return !awaits_newer_digest();
 }
 
 void peer_link::receive_all()
 {
     previous_receive_ = std::exchange(last_receive_, core_.now());
+    const bool may_have_lost = last_receive_ - previous_receive_ >= max_unread_time;
+    const auto count = read_datagrams();
+    if (count == 0)
+    {
+        return;
+    }
+    newer_awaited_until_ = may_have_lost && !awaits_newer_digest() ? last_receive_ + max_digest_wait
+                                                                   : base::time_point{};
+}
+
+std::size_t peer_link::read_datagrams()
+{
     udp::endpoint sender;
     boost::system::error_code error;
     for (std::size_t count = 0; count < max_datagrams_at_once; ++count)
@@ -142,10 +162,16 @@
         const auto size = socket_.receive_from(boost::asio::buffer(buffer_), sender, 0, error);
         if (error)
         {
-            return;
+            return count;
         }
         on_digest({buffer_.data(), size});
     }
+    return max_datagrams_at_once;
+}
+
+bool peer_link::awaits_newer_digest() const
+{
+    return core_.now() < newer_awaited_until_;
 }
 
 void peer_link::receive()
@@ -158,7 +184,12 @@
                                {
                                    return;
                                }
+                               const bool awaited = awaits_newer_digest();
                                receive_all();
+                               if (awaited && !awaits_newer_digest())
+                               {
+                                   core_.dispatch_waiting();
+                               }
                                receive();
                            }));
 }
--- a/src/libcaraway/router/peer_link.hpp
+++ b/src/libcaraway/router/peer_link.hpp
@@ -37,7 +37,8 @@
     /// burst of load, one iteration of the event loop takes more than a second; a request placed
     /// during it went to an upstream that had left 3 to 4 s before, while the digest that reported
     /// this was waiting in the socket.
-    void receive_pending();
+    /// Returns false while a newer digest must be awaited, as the newest may have been lost.
+    bool receive_pending();
     /// Requests a copy of the tables from the peer with this control address. Returns false, and
     /// does nothing, while another request is in flight. If the peer's upstreams were copied
     /// before, only the changes since then are requested. `with_routers` requests the peer's list
@@ -63,6 +64,10 @@
     /// newest would wait behind about a hundred others on a VM whose iterations take tens of
     /// milliseconds.
     void receive_all();
+    /// Returns their number.
+    std::size_t read_datagrams();
+    /// After the socket wasn't read for so long that it may have lost datagrams.
+    bool awaits_newer_digest() const;
     void on_digest(std::string_view bytes);
     void on_copy(const routing::endpoint& peer, const base::result<http::buffered_answer>& result);
 
@@ -77,6 +82,7 @@
     base::time_point last_receive_{};
     /// The read before that: the datagrams being processed arrived after it.
     base::time_point previous_receive_{};
+    base::time_point newer_awaited_until_{};
     std::size_t unanswered_ = 0;
     std::uint64_t digests_received_ = 0;
     std::array<char, 65536> buffer_{};
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -131,10 +131,10 @@
 
 bool request_session::on_opened(attempt& current)
 {
-    core_.receive_peer_updates();
+    const bool is_current = core_.receive_peer_updates();
     last_connect_time_ = core_.now() - current.sent_at;
     last_upstreams_age_ = core_.upstreams_age();
-    if (!core_.directory.is_usable(current.placement.target.id))
+    if (!is_current || !core_.directory.is_usable(current.placement.target.id))
     {
         ++core_.requests_withheld;
         return false;
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -209,7 +209,10 @@
 
 std::optional<routing::placement> request_session::find_placement()
 {
-    core_.receive_peer_updates();
+    if (!core_.receive_peer_updates())
+    {
+        return std::nullopt;
+    }
     const auto terms = routing::admit(*route_, share_status(), {});
     return terms.blocked ? std::nullopt : find_placement(terms);
 }
