--- a/src/libcaraway/routing/table_relay.hpp
+++ b/src/libcaraway/routing/table_relay.hpp
@@ -97,7 +97,7 @@
     {
         return fraction_of_notice(options_.digest_fraction);
     }
-    /// How long the store may hold a call of this router if the zone is shared.
+    /// How long the store may hold a call of this router.
     base::duration max_hold() const
     {
         return fraction_of_notice(options_.hold_fraction);
