--- a/tests/leaving_notice/test_late_word.cpp
+++ b/tests/leaving_notice/test_late_word.cpp
@@ -60,7 +60,7 @@
             const base::node_id id("r" + std::to_string(number));
             routers.push_back({.id = id,
                                .relay = table_relay(id, {.leaving_notice = notice}),
-                               .phase = milliseconds(number * 170 % digest_period.count())});
+                               .phase = 170ms * number % digest_period});
         }
         routers.back().turn = 300ms;
         for (auto& each : routers)
