--- a/src/libcaraway/base/ids.hpp
+++ b/src/libcaraway/base/ids.hpp
@@ -17,6 +17,8 @@
 using upstream_id = strong_id<struct upstream_tag>;
 /// One router, identified by the name in its settings; unchanged by a restart.
 using node_id = strong_id<struct node_tag>;
+/// Version of an upstream's software. Versions have no order, they only can be equal.
+using software_version = strong_id<struct software_version_tag>;
 using zone_id = strong_id<struct zone_tag>;
 using region_id = strong_id<struct region_tag>;
 using operator_id = strong_id<struct operator_tag>;
--- a/src/libcaraway/router/daemon_answers.cpp
+++ b/src/libcaraway/router/daemon_answers.cpp
@@ -176,6 +176,7 @@
         upstreams.push_back({{"id", id.str()},
                              {"service", upstream.service.str()},
                              {"zone", upstream.zone.str()},
+                             {"software", upstream.software.str()},
                              {"draining", upstream.draining},
                              {"zone_drained", core_.directory.zones().contains(upstream.zone)},
                              {"cold", core_.slow_start.is_cold(id, now)},
--- a/src/libcaraway/router/daemon_upstreams.cpp
+++ b/src/libcaraway/router/daemon_upstreams.cpp
@@ -84,6 +84,7 @@
             core_.log.line("upstream", {{"upstream", changed_row->key},
                                         {"service", entry->service.str()},
                                         {"address", entry->address.ip},
+                                        {"software", entry->software.str()},
                                         {"draining", entry->draining},
                                         {"from", source},
                                         {"revision", changed_row->revision}});
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -343,6 +343,7 @@
         core_.log.request_line("attempt",
                                {{"request", metadata_.id.str()},
                                 {"upstream", last->placement.target.id.str()},
+                                {"software", last->placement.target.software.str()},
                                 {"end", routing::name(outcome)},
                                 {"status", last->head ? last->head->result_int() : 0},
                                 {"took_ms", to_milliseconds(core_.now() - last->sent_at).count()},
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -188,6 +188,14 @@
     {
         line["upstream"] = tried_.back().str();
     }
+    if (metadata_.resumed_attempt)
+    {
+        line["resumes"] = metadata_.resumed_attempt->str();
+    }
+    if (metadata_.resume_after)
+    {
+        line["after_event"] = *metadata_.resume_after;
+    }
     if (found_no_place(reason))
     {
         line["held_by"] = has_place_within_share() ? "share" : "engines";
@@ -200,6 +208,7 @@
     }
     if (last_placement_)
     {
+        line["software"] = last_placement_->target.software.str();
         line["placed_ms"] = to_milliseconds(last_sent_at_ - request_->arrived()).count();
         line["connect_ms"] = to_milliseconds(last_connect_time_).count();
         line["upstreams_age_ms"] = to_milliseconds(last_upstreams_age_).count();
--- a/src/libcaraway/router/request_silence.cpp
+++ b/src/libcaraway/router/request_silence.cpp
@@ -67,6 +67,7 @@
     core_.log.request_line("attempt",
                            {{"request", metadata_.id.str()},
                             {"upstream", id.str()},
+                            {"software", attempt_->placement.target.software.str()},
                             {"end", "silent"},
                             {"took_ms", to_milliseconds(now - attempt_->sent_at).count()},
                             {"silent_ms", silent.count()},
--- a/src/libcaraway/routing/configuration.hpp
+++ b/src/libcaraway/routing/configuration.hpp
@@ -129,6 +129,8 @@
     std::vector<prompt_part> parts;
     /// Id of the last event that the caller received, if the caller resumes a stream.
     std::optional<std::uint64_t> resume_after;
+    /// The attempt that brought the first event of the stream that the caller resumes.
+    std::optional<base::request_id> resumed_attempt;
 };
 
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/upstream_directory.hpp
+++ b/src/libcaraway/routing/upstream_directory.hpp
@@ -31,6 +31,8 @@
     base::service_id service;
     endpoint address;
     base::zone_id zone;
+    /// Empty if its entry names none.
+    base::software_version software;
     std::uint32_t slots = 1;
     /// Shutting down: takes no new requests.
     bool draining = false;
--- a/tests/users_platform/stand_in_runner.cpp
+++ b/tests/users_platform/stand_in_runner.cpp
@@ -29,8 +29,9 @@
 {
     nlohmann::json row_value{
         {"backend", service}, {"address", "127.0.0.1:" + std::to_string(port_)},
-        {"zone", zone},       {"slots", 4},
-        {"state", state},     {"sequence", 1}};
+        {"zone", zone},       {"version", software},
+        {"slots", 4},         {"state", state},
+        {"sequence", 1}};
     if (warmup_left_ms)
     {
         row_value["warmup_left_ms"] = *warmup_left_ms;
--- a/tests/users_platform/stand_in_runner.hpp
+++ b/tests/users_platform/stand_in_runner.hpp
@@ -41,6 +41,8 @@
 
     std::string instance;
     std::string zone = "z1";
+    /// Version of its software.
+    std::string software = "v1";
     std::optional<int> warmup_left_ms;
     /// All answers say that the runner is shutting down.
     bool leaving = false;
