--- /dev/null
+++ b/tests/stream_versions/main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE stream_versions
+#include <boost/test/unit_test.hpp>
