Router, Routing: a stream goes on only at the software version that sent its first event

Cause: the version of an upstream was nowhere part of what a router decides, and a router to which a caller came to resume a stream couldn't know it. So a router that went on after an engine broke off or fell silent took any upstream of the service, and so did each router that a caller came to. Change: a stream is bound to the version that sent the event which the caller got first; placement takes only that. The router that begins a stream keeps its origin and tells three others, found by hashing the attempt's id, in several zones; one that is asked to resume a stream it doesn't know asks them.

--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -7,12 +7,14 @@
 #include "libcaraway/router/settings.hpp"
 #include "libcaraway/routing/crash_tracker.hpp"
 #include "libcaraway/routing/load_tracker.hpp"
+#include "libcaraway/routing/origin_lookups.hpp"
 #include "libcaraway/routing/overload_guard.hpp"
 #include "libcaraway/routing/peer_table.hpp"
 #include "libcaraway/routing/placer.hpp"
 #include "libcaraway/routing/refused_requests.hpp"
 #include "libcaraway/routing/retry_budget.hpp"
 #include "libcaraway/routing/route_table.hpp"
+#include "libcaraway/routing/served_versions.hpp"
 #include "libcaraway/routing/slow_start.hpp"
 #include "libcaraway/routing/wait_queue.hpp"
 #include "libcaraway/routing/workspace_shares.hpp"
@@ -119,6 +121,18 @@
         return base::duration::zero();
     };
 
+    /// Records the origin of a stream that began here, until its caller can't resume it any more.
+    std::function<void(const base::request_id& first_attempt, const routing::stream_origin&,
+                       base::time_point expires)>
+        record_origin = [](const auto&, const auto&, auto) {
+        };
+    /// Finds the origin of a stream, here or at other routers.
+    std::function<void(const base::request_id& first_attempt, routing::origin_lookups::callback)>
+        find_origin = [](const auto&, const auto& done)
+    {
+        done(std::nullopt);
+    };
+
     base::time_point now() const
     {
         return clock.now();
@@ -133,6 +147,7 @@
     http::upstream_pool pool;
     metrics::registry metrics;
     routing::upstream_directory directory;
+    routing::served_versions served_versions;
     routing::slow_start slow_start;
     routing::load_tracker load_tracker;
     routing::workspace_shares shares;
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -77,7 +77,14 @@
       peers_(core_.options.name, core_.options.zone), relay_(core_.options.name),
       link_(
           core_, peers_, relay_, [this] { return make_digest(); },
-          [this](const table_copy& copy) { return apply_copy(copy); }),
+          [this](const table_copy& copy) { return apply_copy(copy); },
+          [this](std::string_view bytes, const routing::endpoint& sender)
+          { origins_.receive(bytes, sender); }),
+      origins_(
+          core_,
+          [this](const routing::endpoint& receiver, const std::string& bytes)
+          { link_.send_datagram(receiver, bytes); },
+          [this] { return peers_.reachable_keepers(core_.now()); }),
       signals_(loop)
 {
 }
@@ -104,6 +111,15 @@
     {
         return relay_.unconfirmed_for(core_.now());
     };
+    core_.record_origin = [this](const auto& first_attempt, const auto& origin, auto expires)
+    {
+        origins_.record(first_attempt, origin, expires);
+    };
+    core_.find_origin = [this](const auto& first_attempt, auto done)
+    {
+        origins_.find(first_attempt, std::move(done));
+    };
+    core_.served_versions.record_gap(started_);
     open_tables(platform_);
     watch_signals();
     core_.log.line("start", {{"router", addresses.name.str()},
@@ -199,6 +215,7 @@
     }
     drop_expired_upstreams(now);
     update_warmups(now);
+    record_versions(now);
     core_.health.expire_rests(now);
     core_.expire_waiting();
     core_.dispatch_waiting();
@@ -211,6 +228,7 @@
         next_sweep_ = now + sweep_period;
         core_.pool.sweep();
         peers_.remove_expired(now);
+        origins_.expire();
         update_limits_per_router();
         core_.set_share_capacity();
     }
@@ -300,8 +318,10 @@
     const auto now = core_.now();
     stopping_since_ = now;
     core_.reject_from = now + accept_while_stopping;
-    core_.log.line("stop", {{"answering", callers_->active_requests()}});
+    core_.log.line(
+        "stop", {{"answering", callers_->active_requests()}, {"streams_known", origins_.size()}});
     link_.send_due_digests();
+    origins_.hand_over();
 }
 
 void daemon::progress_stop(base::time_point now)
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libcaraway/http/listener.hpp"
+#include "libcaraway/router/origin_exchange.hpp"
 #include "libcaraway/router/peer_link.hpp"
 #include "libcaraway/router/table_sync.hpp"
 
@@ -115,6 +116,8 @@
     /// time if it has just appeared.
     void record_warmup(const routing::upstream& entry, bool appeared);
     void update_warmups(base::time_point now);
+    /// Keeps track of the software versions that serve.
+    void record_versions(base::time_point now);
     /// Drops upstreams whose removal was delayed during an outage of the store, once no update can
     /// restore them.
     void drop_expired_upstreams(base::time_point now);
@@ -168,6 +171,7 @@
     /// Hash of the upstream table at the last announcement to the routers of this zone.
     std::uint64_t announced_mark_ = 0;
     peer_link link_;
+    origin_exchange origins_;
     boost::asio::signal_set signals_;
     http::owner_token owner_;
 
--- a/src/libcaraway/router/daemon_answers.cpp
+++ b/src/libcaraway/router/daemon_answers.cpp
@@ -139,6 +139,9 @@
     set_gauge("caraway_requests_withheld",
               "Requests not sent, as their upstreams left after the placement, in total.",
               static_cast<double>(core_.requests_withheld));
+    set_gauge("caraway_streams_known",
+              "Streams whose first upstream's version is known here, for callers that resume them.",
+              static_cast<double>(origins_.size()));
     set_gauge("caraway_zones_drained",
               "Drained availability zones: upstreams there get nothing new.",
               static_cast<double>(core_.directory.zones().drained_count()));
--- a/src/libcaraway/router/daemon_peers.cpp
+++ b/src/libcaraway/router/daemon_peers.cpp
@@ -338,6 +338,7 @@
     digest.leaving = core_.directory.leaving(now);
     digest.zones = core_.directory.zones().updates();
     digest.tables = tables();
+    digest.keeps_origins = true;
     return digest;
 }
 
--- a/src/libcaraway/router/daemon_upstreams.cpp
+++ b/src/libcaraway/router/daemon_upstreams.cpp
@@ -134,6 +134,7 @@
     {
         return false;
     }
+    core_.served_versions.record(entry.service, entry.software, core_.now());
     unreadable_keys_.erase(upstream_row.key);
     upstream_rows_[upstream_row.key] = upstream_row;
     const bool restarted = change == routing::upstream_directory::change::restarted;
@@ -169,6 +170,18 @@
     core_.expire_warmups();
 }
 
+void daemon::record_versions(base::time_point now)
+{
+    if (core_.upstreams_age() > core_.options.leaving_notice)
+    {
+        core_.served_versions.record_gap(now);
+    }
+    for (const auto& [id, upstream] : core_.directory.all())
+    {
+        core_.served_versions.record(upstream.service, upstream.software, now);
+    }
+}
+
 void daemon::discard_unreadable(const row& upstream_row, const base::error& reason)
 {
     // The previous entry is no longer valid: its row was overwritten, though not by the upstream.
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -1,5 +1,7 @@
 #include "libcaraway/router/peer_link.hpp"
 
+#include "libcaraway/routing/origin_message.hpp"
+
 #include <boost/asio/ip/address.hpp>
 
 #include <utility>
@@ -32,10 +34,11 @@
 }  // namespace
 
 peer_link::peer_link(core& router_core, routing::peer_table& peers, routing::table_relay& relay,
-                     digest_source make_digest, copy_handler handle_copy)
+                     digest_source make_digest, copy_handler handle_copy,
+                     datagram_handler handle_origins)
     : core_(router_core), peers_(peers), relay_(relay), make_digest_(std::move(make_digest)),
-      handle_copy_(std::move(handle_copy)), socket_(router_core.loop),
-      caller_(router_core.loop, router_core.timers)
+      handle_copy_(std::move(handle_copy)), handle_origins_(std::move(handle_origins)),
+      socket_(router_core.loop), caller_(router_core.loop, router_core.timers)
 {
 }
 
@@ -78,13 +81,19 @@
     const auto bytes = routing::encode(make_digest_());
     for (const auto& each : receivers)
     {
-        boost::system::error_code error;
-        const auto ip = boost::asio::ip::make_address(each.ip, error);
-        // Errors are ignored: the next digest replaces one that can't be sent now.
-        socket_.send_to(boost::asio::buffer(bytes), udp::endpoint(ip, each.port), 0, error);
+        send_datagram(each, bytes);
     }
 }
 
+void peer_link::send_datagram(const routing::endpoint& receiver, const std::string& bytes)
+{
+    boost::system::error_code error;
+    const auto ip = boost::asio::ip::make_address(receiver.ip, error);
+    // Errors are ignored: the next digest replaces one that can't be sent now, and origins are told
+    // to several routers.
+    socket_.send_to(boost::asio::buffer(bytes), udp::endpoint(ip, receiver.port), 0, error);
+}
+
 bool peer_link::request_copy(const routing::endpoint& peer, bool with_routers)
 {
     if (caller_.busy())
@@ -157,16 +166,28 @@
 {
     udp::endpoint sender;
     boost::system::error_code error;
+    std::size_t digests = 0;
     for (std::size_t count = 0; count < max_datagrams_at_once; ++count)
     {
         const auto size = socket_.receive_from(boost::asio::buffer(buffer_), sender, 0, error);
         if (error)
         {
-            return count;
+            break;
         }
-        on_digest({buffer_.data(), size});
+        digests += on_datagram({buffer_.data(), size}, sender) ? 1 : 0;
+    }
+    return digests;
+}
+
+bool peer_link::on_datagram(std::string_view bytes, const udp::endpoint& sender)
+{
+    if (routing::is_origin_message(bytes))
+    {
+        handle_origins_(bytes, {.ip = sender.address().to_string(), .port = sender.port()});
+        return false;
     }
-    return max_datagrams_at_once;
+    on_digest(bytes);
+    return true;
 }
 
 bool peer_link::awaits_newer_digest() const
--- a/src/libcaraway/router/peer_link.hpp
+++ b/src/libcaraway/router/peer_link.hpp
@@ -21,9 +21,11 @@
     /// peer's, so that the next copy from that peer may be partial.
     using copy_handler = std::function<bool(const table_copy&)>;
     using digest_source = std::function<routing::digest()>;
+    /// Receives the datagrams that aren't digests, with the address of their sender.
+    using datagram_handler = std::function<void(std::string_view, const routing::endpoint&)>;
 
     peer_link(core& router_core, routing::peer_table& peers, routing::table_relay& relay,
-              digest_source make_digest, copy_handler handle_copy);
+              digest_source make_digest, copy_handler handle_copy, datagram_handler handle_origins);
 
     /// Starts receiving digests at `local`; a port of 0 is replaced by the one that was assigned.
     /// Errors: `unavailable` if the address can't be bound.
@@ -33,6 +35,8 @@
     void send_due_digests();
     /// Sends a digest to all reachable peers of this zone at once, after an important change.
     void send_zone_digests();
+    /// Sends a datagram of another kind, which may get lost.
+    void send_datagram(const routing::endpoint& receiver, const std::string& bytes);
     /// Processes all pending datagrams unless the socket was read recently. On a small VM under a
     /// burst of load, one iteration of the event loop takes more than a second; a request placed
     /// during it went to an upstream that had left 3 to 4 s before, while the digest that reported
@@ -64,10 +68,12 @@
     /// newest would wait behind about a hundred others on a VM whose iterations take tens of
     /// milliseconds.
     void receive_all();
-    /// Returns their number.
+    /// Returns the number of digests among them.
     std::size_t read_datagrams();
     /// After the socket wasn't read for so long that it may have lost datagrams.
     bool awaits_newer_digest() const;
+    /// Returns whether it is a digest.
+    bool on_datagram(std::string_view bytes, const udp::endpoint& sender);
     void on_digest(std::string_view bytes);
     void on_copy(const routing::endpoint& peer, const base::result<http::buffered_answer>& result);
 
@@ -76,6 +82,7 @@
     routing::table_relay& relay_;
     digest_source make_digest_;
     copy_handler handle_copy_;
+    datagram_handler handle_origins_;
     /// Position of the last copy applied from each peer, by the peer's control address.
     std::map<std::pair<std::string, std::uint16_t>, copy_position> copy_positions_;
     udp::socket socket_;
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -232,6 +232,10 @@
     }
     answer_begun_ = true;
     first_event_time_ = core_.now();
+    if (route_->resumable)
+    {
+        record_stream_origin(current);
+    }
     request_->begin(head_for_caller(*current.head));
 }
 
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -192,6 +192,10 @@
     {
         line["resumes"] = metadata_.resumed_attempt->str();
     }
+    if (stream_software_)
+    {
+        line["stream_software"] = stream_software_->str();
+    }
     if (metadata_.resume_after)
     {
         line["after_event"] = *metadata_.resume_after;
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -54,6 +54,18 @@
         answer(http::status::service_unavailable, "stopping", milliseconds(0));
         return;
     }
+    if (resumes_stream())
+    {
+        find_stream_origin();
+    }
+    else if (find_service(routing::route_table::pick_service(*route_, core_.random_unit())))
+    {
+        accept();
+    }
+}
+
+void request_session::accept()
+{
     count_arrival();
     if (!admit())
     {
@@ -79,7 +91,11 @@
         answer(http::status::not_found, "no_route");
         return false;
     }
-    const auto& name = routing::route_table::pick_service(*route_, core_.random_unit());
+    return true;
+}
+
+bool request_session::find_service(const base::service_id& name)
+{
     service_ = table_->find_service(name);
     if (service_ == nullptr)
     {
@@ -166,6 +182,11 @@
         fail_unplaced("zones_drained");
         return;
     }
+    if (!has_upstream_for_stream())
+    {
+        fail_unplaced("no_upstream_of_version");
+        return;
+    }
     const auto now = core_.now();
     const auto terms = routing::admit(*route_, share_status(), {});
     const auto wait_deadline =
@@ -228,6 +249,7 @@
         .output_tokens = expected_output_tokens(),
         .parts = &metadata_.parts,
         .tried = tried_,
+        .software = stream_software_,
         .max_wait = terms.longest_wait,
         .slot_share = terms.slot_share,
         .cold_upstreams = core_.slow_start.any_cold() ? &core_.slow_start : nullptr,
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -48,6 +48,19 @@
 
     bool find_route();
     bool find_workspace();
+    /// Whether the caller goes on with a stream that an earlier attempt began.
+    bool resumes_stream() const;
+    void find_stream_origin();
+    void on_stream_origin(std::optional<routing::stream_origin> origin);
+    /// The only origin that the stream can have; empty if there are several or it isn't known.
+    std::optional<routing::stream_origin> sole_origin() const;
+    /// The stream's first event was sent by an upstream of this version, or nothing is known of it.
+    void record_stream_origin(const attempt& first);
+    /// Whether an upstream is usable that can go on with the stream, if one has begun.
+    bool has_upstream_for_stream() const;
+    bool find_service(const base::service_id& name);
+    /// The request is complete and may be served.
+    void accept();
     void count_arrival();
     /// Counts the request as an active stream. Returns false if the session has ended: the router
     /// is overloaded, or the caller has left.
@@ -140,6 +153,9 @@
     /// Computed on first use, as few requests need it.
     std::optional<attempts::request_fingerprint> fingerprint_;
     std::optional<std::uint64_t> last_event_id_;
+    /// Version that sent the first event of the stream, which no other may continue. Empty before
+    /// that event; an empty version if it isn't known.
+    std::optional<base::software_version> stream_software_;
     base::time_point first_event_time_{};
     base::time_point last_event_time_{};
     /// Longest time between two writes of events to the caller.
--- a/src/libcaraway/routing/digest.cpp
+++ b/src/libcaraway/routing/digest.cpp
@@ -15,6 +15,8 @@
 /// First field of each digest. Increase it whenever the format changes.
 constexpr std::uint64_t format = 8;
 constexpr std::size_t field_count = 21;
+/// Absent in digests of routers that don't know about origins.
+constexpr std::size_t keeps_origins_position = 21;
 
 json loads_json(const upstream_loads& loads)
 {
@@ -212,7 +214,9 @@
             .prefill_samples = parse_prefill_records(encoded.at(17)),
             .leaving = parse_leaving(encoded.at(19)),
             .zones = parse_zone_updates(encoded.at(20)),
-            .tables = parse_tables(encoded.at(18))};
+            .tables = parse_tables(encoded.at(18)),
+            .keeps_origins = encoded.size() > keeps_origins_position &&
+                             encoded.at(keeps_origins_position).get<bool>()};
 }
 
 }  // namespace
@@ -239,7 +243,8 @@
                                      prefill_records_json(message.prefill_samples),
                                      tables_json(message.tables),
                                      leaving_json(message.leaving),
-                                     zone_updates_json(message.zones)});
+                                     zone_updates_json(message.zones),
+                                     message.keeps_origins});
     std::string out;
     json::to_cbor(fields, out);
     return out;
--- a/src/libcaraway/routing/digest.hpp
+++ b/src/libcaraway/routing/digest.hpp
@@ -57,6 +57,8 @@
     std::vector<zone_update> zones;
     /// State of the sender's copy of the platform's tables.
     table_state tables;
+    /// Whether the sender keeps origins of other routers' streams.
+    bool keeps_origins = false;
 };
 
 /// Encodes the digest as CBOR (RFC 8949).
--- a/src/libcaraway/routing/peer_table.cpp
+++ b/src/libcaraway/routing/peer_table.cpp
@@ -40,7 +40,8 @@
             .capacity = received.capacity,
             .request_rate = received.request_rate,
             .version = received.version,
-            .tables_fresh_for = received.tables_fresh_for};
+            .tables_fresh_for = received.tables_fresh_for,
+            .keeps_origins = received.keeps_origins};
 }
 
 peer_table::peer_table(base::node_id self, base::zone_id zone, peer_options options)
@@ -297,6 +298,22 @@
     return reachable_count * 2 < recent_count;
 }
 
+std::vector<origin_keeper> peer_table::reachable_keepers(base::time_point now) const
+{
+    std::vector<origin_keeper> keepers;
+    for (const auto& [id, each] : peers_)
+    {
+        if (each.keeps_origins && is_reachable(each, now))
+        {
+            keepers.push_back({.router = id,
+                               .zone = each.zone,
+                               .datagrams = each.datagrams,
+                               .ready = each.ready});
+        }
+    }
+    return keepers;
+}
+
 bool peer_table::is_reachable(const peer& candidate, base::time_point now) const
 {
     return candidate.last_digest && *candidate.last_digest + reachable_time() > now;
--- a/src/libcaraway/routing/peer_table.hpp
+++ b/src/libcaraway/routing/peer_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libcaraway/routing/digest.hpp"
+#include "libcaraway/routing/origin_keepers.hpp"
 #include "libcaraway/routing/slow_start.hpp"
 
 #include <functional>
@@ -65,6 +66,7 @@
     double request_rate = 0;
     base::config_version version{};
     std::chrono::milliseconds tables_fresh_for{};
+    bool keeps_origins = false;
     /// When the last digest was received; empty before the first one.
     std::optional<base::time_point> last_digest;
     base::time_point known_since{};
@@ -131,6 +133,9 @@
     /// since before `start`.
     bool any_fresh_since(base::time_point start, base::time_point now) const;
 
+    /// The reachable peers that keep origins of other routers' streams.
+    std::vector<origin_keeper> reachable_keepers(base::time_point now) const;
+
     /// Whether a digest of the peer was received recently enough.
     bool is_reachable(const peer& candidate, base::time_point now) const;
     std::size_t size() const
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -96,6 +96,11 @@
     return std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end();
 }
 
+bool is_other_version(const placement_request& request, const upstream& target)
+{
+    return request.software && target.software != *request.software;
+}
+
 std::uint64_t needed_tokens(const placement_request& request)
 {
     return std::uint64_t{request.prompt_tokens} + request.output_tokens;
@@ -196,7 +201,7 @@
     // The most frequent reason for exclusion is checked first: with hundreds of engines, most of
     // them full, placing nothing takes a small VM more CPU time than serving a request.
     if (!has_room(target, request, context.limits, considered.total) ||
-        was_tried(request, target.id) ||
+        was_tried(request, target.id) || is_other_version(request, target) ||
         !context.health.usable(target.id, context.board.own_running(target.id), context.now))
     {
         return;
--- a/src/libcaraway/routing/placer.hpp
+++ b/src/libcaraway/routing/placer.hpp
@@ -59,6 +59,8 @@
     const std::vector<prompt_part>* parts = nullptr;
     /// Upstreams that the request was sent to before; they are not chosen again.
     std::vector<base::upstream_id> tried;
+    /// The only software version that may get the request; any may if it is empty.
+    std::optional<base::software_version> software;
     /// Maximum time queued behind the prefill of other prompts; an engine without running requests
     /// is accepted in any case.
     std::chrono::milliseconds max_wait{300};
