--- a/tests/routing/test_placer.cpp
+++ b/tests/routing/test_placer.cpp
@@ -305,6 +305,20 @@
     BOOST_TEST(!place(request)->cache_source.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_of_a_version_goes_to_engines_of_that_version_only)
+{
+    add_engines(4);
+    placement_request request{.requested_service = &engines,
+                              .software = base::software_version("v2")};
+    BOOST_TEST(!place(request).has_value());
+
+    auto last = *directory.find(base::upstream_id("e3"));
+    last.software = base::software_version("v2");
+    directory.put(last, {.revision = 2, .received = now});
+    BOOST_REQUIRE(place(request).has_value());
+    BOOST_TEST(place(request)->target.id == last.id);
+}
+
 BOOST_AUTO_TEST_CASE(small_parts_are_not_fetched_nor_from_engines_without_transfer)
 {
     const std::vector<prompt_part> small{
