--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -241,7 +241,7 @@
 {
     const bool may_hold =
         home != nullptr && home != chosen.target && !was_tried(request, home->id) &&
-        !health.excluded(home->id, now) &&
+        home->software == chosen.target->software && !health.excluded(home->id, now) &&
         (request.cold_upstreams == nullptr || !request.cold_upstreams->is_cold(home->id, now));
     const auto transfer_ms_per_token =
         request.requested_service->engine
--- a/tests/routing/test_placer.cpp
+++ b/tests/routing/test_placer.cpp
@@ -305,6 +305,23 @@
     BOOST_TEST(!place(request)->cache_source.has_value());
 }
 
+// What two software versions write doesn't fit together, cached parts of a prompt included.
+BOOST_AUTO_TEST_CASE(parts_are_not_fetched_from_a_home_of_another_software_version)
+{
+    enable_cache_transfer();
+    const auto parts = session("s1");
+    const placement_request request{
+        .requested_service = &engines, .prompt_tokens = 11900, .parts = &parts};
+    add_engines(18);
+    auto home = place(request)->target;
+    board.record_start(home.id, {.running = 32});
+    BOOST_REQUIRE(place(request)->cache_source.has_value());
+
+    home.software = base::software_version("v2");
+    directory.put(home, {.revision = 2, .received = now});
+    BOOST_TEST(!place(request)->cache_source.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_of_a_version_goes_to_engines_of_that_version_only)
 {
     add_engines(4);
