Router: nothing is placed, nor written to a new connection, after its caller's deadline

Change: placing looks at the deadline itself, and so does writing after a connection was opened. a_request_is_not_placed_after_its_callers_deadline failed before (three of three), passes now.

--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -134,7 +134,8 @@
     const bool is_current = core_.receive_peer_updates();
     last_connect_time_ = core_.now() - current.sent_at;
     last_upstreams_age_ = core_.upstreams_age();
-    if (!is_current || !core_.directory.is_usable(current.placement.target.id))
+    const bool is_usable = core_.directory.is_usable(current.placement.target.id);
+    if (!is_current || !is_usable || is_past_deadline())
     {
         ++core_.requests_withheld;
         return false;
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -220,6 +220,12 @@
     {
         return true;
     }
+    // On a VM that stood still the deadline's timer may not have run yet.
+    if (is_past_deadline())
+    {
+        on_deadline();
+        return true;
+    }
     auto placement = find_placement();
     if (!placement)
     {
@@ -409,6 +415,11 @@
     return core_.crashes.has_suspects() && core_.crashes.refuses(fingerprint(), core_.now());
 }
 
+bool request_session::is_past_deadline() const
+{
+    return core_.now() >= deadline_;
+}
+
 milliseconds request_session::time_left() const
 {
     return to_milliseconds(deadline_ - core_.now());
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -126,6 +126,7 @@
     /// Tokens charged to the workspace's share: prompt, and twice the expected output.
     double share_tokens() const;
     std::uint32_t expected_output_tokens() const;
+    bool is_past_deadline() const;
     std::chrono::milliseconds time_left() const;
 
     core& core_;
--- /dev/null
+++ b/tests/users_platform/test_late_placements.cpp
@@ -0,0 +1,86 @@
+#include "router_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace users_platform_tests;
+using namespace std::chrono_literals;
+using run = stand_in_runner::run;
+
+namespace
+{
+
+/// The machine's clock, ahead by a time that the event loop's timers don't know of: as on a VM that
+/// stood still, they fire late.
+class jumping_clock final : public caraway::base::clock
+{
+public:
+    caraway::base::time_point now() const override
+    {
+        return machine_.now() + ahead;
+    }
+    std::chrono::system_clock::time_point wall_time() const override
+    {
+        return machine_.wall_time();
+    }
+
+    caraway::base::duration ahead{};
+
+private:
+    caraway::base::machine_clock machine_;
+};
+
+struct late_fixture : router_fixture
+{
+    jumping_clock jumping;
+    caraway::http::timer_queue late_timers{loop, jumping};
+    stand_in_runner engine{loop, timers, "i-1"};
+
+    late_fixture()
+    {
+        router_clock = &jumping;
+        router_timers = &late_timers;
+    }
+    ~late_fixture()
+    {
+        routers.clear();
+    }
+
+    /// Requests that occupy each slot of the engine.
+    std::vector<std::shared_ptr<http_tests::raw_peer>> occupy(caraway::router::daemon& router)
+    {
+        constexpr std::size_t slots = 4;
+        std::vector<std::shared_ptr<http_tests::raw_peer>> callers;
+        engine.next_behaviours.assign(slots, [](stand_in_runner& serving, const run& current)
+                                      { serving.begin_stream(current); });
+        while (callers.size() < slots)
+        {
+            callers.push_back(send_request(router, "/e/", "id-" + std::to_string(callers.size())));
+        }
+        BOOST_REQUIRE(becomes_true([&] { return engine.runs.size() == slots; }));
+        return callers;
+    }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(late_placements, late_fixture)
+
+// A VM stands still while a request waits; a slot becomes free before the late timers run.
+BOOST_AUTO_TEST_CASE(a_request_is_not_placed_after_its_callers_deadline)
+{
+    accept_configuration(1, {{.prefix = "/e/", .kind = "streaming", .service = "engines"}});
+    add_upstream(engine, "engines");
+    auto& router = start_router();
+    const auto running = occupy(router);
+    const auto late =
+        send_request(router, "/e/", "late", "Api-Key: key-1\r\nX-Deadline-Ms: 900\r\n");
+    BOOST_REQUIRE(becomes_true([&] { return router.state()["waiting"].get<int>() == 1; }));
+
+    jumping.ahead = 2s;
+    engine.runs.front().exchange->finish();
+
+    BOOST_TEST(receives_status(late, "503"));
+    BOOST_TEST(engine.requests_received == static_cast<int>(running.size()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
