Origin lookups: a stream that others don't know yet is asked for twice

Others are told of a stream up to 25 ms after its first event. A caller whose connection ended at once came to another router before the word, all routers said that they didn't know the stream, and it was refused although it was known 20 ms later.

--- a/src/libcaraway/router/origin_exchange.cpp
+++ b/src/libcaraway/router/origin_exchange.cpp
@@ -140,7 +140,7 @@
         return;
     }
     std::map<receiver, routing::origin_message> messages;
-    for (const auto& question : lookups_.unanswered())
+    for (const auto& question : lookups_.take_due())
     {
         messages[receiver_of(question.router)].asked.push_back(question.key);
     }
--- a/src/libcaraway/routing/origin_lookups.cpp
+++ b/src/libcaraway/routing/origin_lookups.cpp
@@ -9,7 +9,8 @@
                            callback done)
 {
     auto& started = lookups_[key];
-    started.unanswered = std::move(asked);
+    started.asked = std::move(asked);
+    started.unanswered = started.asked;
     started.give_up_at = give_up_at;
     started.waiting.push_back(std::move(done));
 }
@@ -31,7 +32,7 @@
         return;
     }
     std::erase(found->second.unanswered, router);
-    if (found->second.unanswered.empty())
+    if (found->second.unanswered.empty() && found->second.asked_twice)
     {
         finish(found, std::nullopt);
     }
@@ -57,11 +58,16 @@
     }
 }
 
-std::vector<origin_lookups::question> origin_lookups::unanswered() const
+std::vector<origin_lookups::question> origin_lookups::take_due()
 {
     std::vector<question> questions;
-    for (const auto& [key, each] : lookups_)
+    for (auto& [key, each] : lookups_)
     {
+        if (each.unanswered.empty())
+        {
+            each.unanswered = each.asked;
+            each.asked_twice = true;
+        }
         for (const auto& router : each.unanswered)
         {
             questions.push_back({.router = router, .key = key});
--- a/src/libcaraway/routing/origin_lookups.hpp
+++ b/src/libcaraway/routing/origin_lookups.hpp
@@ -26,8 +26,9 @@
         stream_key key{};
     };
 
-    /// Begins a lookup that ends with the first router that knows the origin, when all have
-    /// answered, or at `give_up_at`.
+    /// Begins a lookup that ends with the first router that knows the origin, when all have twice
+    /// said that they don't, or at `give_up_at`. Routers are told shortly after a stream begins, so
+    /// a caller that resumes it at once may come before the word.
     void start(stream_key key, std::vector<endpoint> asked, base::time_point give_up_at,
                callback done);
     /// A router told the origin.
@@ -36,8 +37,8 @@
     void record_unknown(stream_key key, const endpoint& router);
     /// Ends the lookups whose time is over.
     void expire(base::time_point now);
-    /// The questions that are not answered yet.
-    std::vector<question> unanswered() const;
+    /// The questions that are not answered yet, or are to be asked for the second time.
+    std::vector<question> take_due();
     bool empty() const
     {
         return lookups_.empty();
@@ -46,7 +47,9 @@
 private:
     struct lookup
     {
+        std::vector<endpoint> asked;
         std::vector<endpoint> unanswered;
+        bool asked_twice = false;
         base::time_point give_up_at{};
         std::vector<callback> waiting;
     };
--- a/tests/stream_versions/test_stream_versions.cpp
+++ b/tests/stream_versions/test_stream_versions.cpp
@@ -47,6 +47,20 @@
     BOOST_TEST((versions_after_resume(resume(1, "id-2", "id-1")) == versions{"v2"}));
 }
 
+// The word of it may come after the question.
+BOOST_AUTO_TEST_CASE(a_stream_is_known_to_others_at_once)
+{
+    start_routers(12, engines());
+    for (std::size_t router = 1; router < routers.size(); ++router)
+    {
+        const auto id = "id-" + std::to_string(router);
+        begin_stream(0, id)->close();
+        const auto resumed = resume(router, "again-" + id, id);
+        BOOST_TEST(versions_after_resume(resumed).size() == 1);
+        resumed->close();
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_keeps_its_version_when_another_one_joins_after_it_began)
 {
     start_routers(2, {&new_1, &new_2});
