--- a/tests/stream_versions/test_stream_versions.cpp
+++ b/tests/stream_versions/test_stream_versions.cpp
@@ -115,4 +115,103 @@
     BOOST_TEST(run_count("id-3") == 0);
 }
 
+// A caller that names no attempt, or one that no router knows.
+BOOST_AUTO_TEST_CASE(an_unknown_stream_goes_on_where_only_one_version_can_have_begun_it)
+{
+    auto route = resumable_stream;
+    route.timeout_ms = 200;
+    start_routers(2, {&old_1, &old_2});
+    accept_configuration(2, {route});
+    const auto resume_unknown = [&](const std::string& id, const std::string& fields)
+    {
+        const auto caller = send_stream(1, id, "Last-Event-Id: 1\r\n" + fields);
+        return receives_status(caller, "200");
+    };
+    BOOST_TEST(becomes_true([&] { return resume_unknown("id-1", ""); }));
+    BOOST_TEST(resume_unknown("id-2", "Resumes: nobody-knows\r\n"));
+
+    add_upstream(new_1, "engines");
+    await_engines(3);
+    BOOST_TEST(!resume_unknown("id-3", ""));
+    BOOST_TEST(!resume_unknown("id-4", "Resumes: nobody-knows-either\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_keeps_its_service_where_a_route_is_split_between_services)
+{
+    start_routers(2, {&old_1, &new_1});
+    auto route = resumable_stream;
+    route.other_services = {"plain"};
+    add_upstream(old_2, "plain");
+    accept_configuration(2, {route});
+    await_engines(3);
+    BOOST_REQUIRE(becomes_true([&] { return routers[0]->state()["version"] == 2; }));
+    BOOST_REQUIRE(becomes_true([&] { return routers[1]->state()["version"] == 2; }));
+    const auto caller = begin_stream(0, "id-0");
+    const auto* first = last_run("id-0").first;
+    caller->close();
+    for (int number = 1; number <= 8; ++number)
+    {
+        const auto id = "id-" + std::to_string(number);
+        const auto resumed = resume(1, id, "id-0");
+        BOOST_REQUIRE(!versions_after_resume(resumed).empty());
+        BOOST_TEST((last_run(id).first == &old_2) == (first == &old_2));
+        resumed->close();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_is_refused_where_its_route_leads_to_another_service_now)
+{
+    start_routers(2, {&old_1, &old_2});
+    begin_stream(0, "id-1")->close();
+    auto route = resumable_stream;
+    route.service = "plain";
+    add_upstream(new_1, "plain");
+    accept_configuration(2, {route});
+    await_engines(3);
+    BOOST_REQUIRE(becomes_true([&] { return routers[1]->state()["version"] == 2; }));
+
+    BOOST_TEST(receives_status(resume(1, "id-2", "id-1"), "503"));
+    BOOST_TEST(run_count("id-2") == 0);
+}
+
+// The entry of the new process comes before the first event, and names another version.
+BOOST_AUTO_TEST_CASE(a_stream_has_no_version_if_its_engine_was_replaced_under_its_id)
+{
+    start_routers(2, {&old_1});
+    old_1.next_behaviours.push_front([](stand_in_runner&, const stand_in_runner::run&) {});
+    const auto caller = send_stream(0, "id-1");
+    BOOST_REQUIRE(becomes_true([&] { return !old_1.runs.empty(); }));
+    old_1.software = "v2";
+    add_upstream(old_1, "engines");
+    add_upstream(new_1, "engines");
+    await_engines(2);
+    old_1.begin_stream(old_1.runs.front());
+    old_1.send_event(old_1.runs.front(), 1);
+    BOOST_REQUIRE(becomes_true([&] { return !versions_in(caller->received).empty(); }));
+    old_1.runs.front().exchange->abort();
+
+    BOOST_TEST(becomes_true([&] { return caller->ended; }));
+    BOOST_TEST(receives_status(resume(1, "id-2", "id-1"), "503"));
+    BOOST_TEST(run_count("id-1") + run_count("id-2") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(routers_that_stop_hand_over_the_streams_that_they_keep)
+{
+    start_routers(4, engines());
+    begin_at_second_engine(0, "id-1")->close();
+    for (int stopped = 0; stopped < 3; ++stopped)
+    {
+        settle();
+        routers.front()->stop();
+        BOOST_REQUIRE(
+            becomes_true([&] { return is_known_to_stop(routers.front()->options().name); }));
+        routers.erase(routers.begin());
+        start_router("later-" + std::to_string(stopped));
+        await_engines(4);
+        BOOST_REQUIRE(becomes_true([&] { return knows_peers(routers.size() - 1); }));
+    }
+
+    BOOST_TEST((versions_after_resume(resume(0, "id-2", "id-1")) == versions{"v2"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/stream_versions/version_fixture.hpp
+++ b/tests/stream_versions/version_fixture.hpp
@@ -35,6 +35,10 @@
     }
     /// Starts this many routers that know each other and the listed engines.
     void start_routers(int count, const std::vector<stand_in_runner*>& listed);
+    /// Whether each router hears from at least this many others that take requests.
+    bool knows_peers(std::size_t count) const;
+    /// Whether all other routers know that this one takes no requests any more.
+    bool is_known_to_stop(const caraway::base::node_id& router) const;
     /// Waits until each router knows exactly this many engines that take requests.
     void await_engines(std::size_t count);
 
--- a/tests/users_platform/router_fixture.hpp
+++ b/tests/users_platform/router_fixture.hpp
@@ -23,6 +23,8 @@
     bool resumable = false;
     int timeout_ms = 3000;
     bool anonymous = false;
+    /// Further services that get as much of the route's traffic as `service`.
+    std::vector<std::string> other_services = {};
 };
 
 /// One or more routers between callers and runners, with a stand-in of the store, on one event
