--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -54,7 +54,7 @@
     void on_stream_origin(std::optional<routing::stream_origin> origin);
     /// The only origin that the stream can have; empty if there are several or it isn't known.
     std::optional<routing::stream_origin> sole_origin() const;
-    /// The stream's first event was sent by an upstream of this version, or nothing is known of it.
+    /// Binds the stream to the version that sends its first event, and lets other routers know.
     void record_stream_origin(const attempt& first);
     /// Whether an upstream is usable that can go on with the stream, if one has begun.
     bool has_upstream_for_stream() const;
