Router: a caller's time is bounded before it is converted to nanoseconds

A deadline of some hundred years overflowed when the time for which a stream's origin is kept was computed; the bound came after the conversion. Found by reading; only compiled, the tests were not run again.

--- a/src/libcaraway/router/request_streams.cpp
+++ b/src/libcaraway/router/request_streams.cpp
@@ -104,8 +104,8 @@
     {
         return;
     }
-    const auto patience = std::min<base::duration>(
-        metadata_.caller_timeout.value_or(route_->timeout), max_stream_time);
+    const auto patience =
+        std::min<milliseconds>(metadata_.caller_timeout.value_or(route_->timeout), max_stream_time);
     core_.record_origin(metadata_.resumed_attempt.value_or(metadata_.id),
                         {.service = service_->id, .software = *stream_software_},
                         request_->arrived() + patience + arrival_slack);
