Router: which parts a lost attempt had, and whether its connection was lost or its answer had begun

A crash under one part of a prompt can be told in the lines only by the parts that its lost attempts share; whether an attempt ended by a lost connection or by the end of an answer without a length wasn't told at all. No decision changes.

--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -279,6 +279,7 @@
     }
     else if (failure != http::call_failure::withheld)
     {
+        current.connection_lost = true;
         core_.record_lost_connection(current.placement.target.id, fingerprint());
     }
     on_attempt_ended(outcome_of(failure));
@@ -345,15 +346,7 @@
     }
     if (outcome != attempt_outcome::answered && last)
     {
-        core_.log.request_line("attempt",
-                               {{"request", metadata_.id.str()},
-                                {"upstream", last->placement.target.id.str()},
-                                {"software", last->placement.target.software.str()},
-                                {"end", routing::name(outcome)},
-                                {"status", last->head ? last->head->result_int() : 0},
-                                {"took_ms", to_milliseconds(core_.now() - last->sent_at).count()},
-                                {"rest_left_ms", last->rest_left.count()},
-                                {"next", routing::name(step)}});
+        log_attempt(*last, outcome, step);
     }
     switch (step)
     {
@@ -377,6 +370,37 @@
     core_.dispatch_waiting();
 }
 
+void request_session::log_attempt(const attempt& last, attempt_outcome outcome, next_step step)
+{
+    nlohmann::ordered_json line{{"request", metadata_.id.str()},
+                                {"upstream", last.placement.target.id.str()},
+                                {"software", last.placement.target.software.str()},
+                                {"end", routing::name(outcome)},
+                                {"status", last.head ? last.head->result_int() : 0},
+                                {"took_ms", to_milliseconds(core_.now() - last.sent_at).count()},
+                                {"rest_left_ms", last.rest_left.count()},
+                                {"next", routing::name(step)}};
+    const bool may_have_run =
+        outcome == attempt_outcome::unknown || outcome == attempt_outcome::truncated;
+    if (may_have_run && service_->engine)
+    {
+        line["connection_lost"] = last.connection_lost;
+        line["has_events"] = last.prefilled;
+        line["parts"] = shared_parts();
+    }
+    core_.log.request_line("attempt", line);
+}
+
+std::vector<std::string> request_session::shared_parts() const
+{
+    std::vector<std::string> ids;
+    for (std::size_t index = 0; index + 1 < metadata_.parts.size(); ++index)
+    {
+        ids.push_back(metadata_.parts[index].id);
+    }
+    return ids;
+}
+
 /// Shares count what callers receive. Upstreams that crash lose a flooding workspace's requests,
 /// some ten thousand tokens each. Counted as served, these kept the workspace from being placed for
 /// the whole share window, while others got three times as much.
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -41,6 +41,8 @@
         bool is_stream = false;
         /// The first event arrived: the upstream has processed the prompt.
         bool prefilled = false;
+        /// The connection ended before the answer was complete.
+        bool connection_lost = false;
         /// Start of the silence: when events last arrived, or else when the request was sent.
         base::time_point last_activity{};
         http::timer_queue::handle silence_timer;
@@ -87,6 +89,10 @@
     void record_event_gap();
 
     void on_attempt_ended(routing::attempt_outcome outcome);
+    void log_attempt(const attempt& last, routing::attempt_outcome outcome,
+                     routing::next_step step);
+    /// Ids of the prompt's parts that other requests may have as well.
+    std::vector<std::string> shared_parts() const;
     void release_attempt();
     void refund_share(routing::attempt_outcome outcome);
     std::optional<routing::placement> find_placement();
