Routing, Router: a part of a prompt that crashes engines is refused after the fourth crash

Callers saw: one part of a prompt crashed every engine that began an answer on it, in requests no two alike; each crash ended some thirty other answers. Cause: a crash was charged to whole requests only, so each was a suspect with one crash.

Each lost request whose answer had at most begun charges its shared parts with the crash; an answer that begins later and goes on cancels what is older, at whatever router. What is left after four separate crashes is explained by as few parts as possible. Both kinds of evidence travel in digests, in a field that routers of an earlier build pass over. Requests that have such a part are refused at once, waiting ones and retries too, with when to come back.

--- a/src/libcaraway/http/message.hpp
+++ b/src/libcaraway/http/message.hpp
@@ -31,4 +31,13 @@
     return head;
 }
 
+/// Whether only the end of the connection shows where the answer's body ends.
+inline bool ends_with_connection(const response_head& head)
+{
+    const bool has_body =
+        head.result() != status::no_content && head.result() != status::not_modified;
+    return has_body && head.find(field::content_length) == head.end() &&
+           head.find(field::transfer_encoding) == head.end();
+}
+
 }  // namespace caraway::http
--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -225,17 +225,6 @@
     }
 }
 
-void core::record_lost_connection(const base::upstream_id& id,
-                                  attempts::request_fingerprint request)
-{
-    log_crash(crashes.record_lost(id, request, now()));
-}
-
-void core::record_unreachable(const base::upstream_id& id)
-{
-    log_crash(crashes.record_unreachable(id, now()));
-}
-
 void core::record_rest(const base::upstream_id& id, std::chrono::milliseconds rest)
 {
     log.request_line("upstream_rest", {{"upstream", id.str()},
@@ -259,7 +248,7 @@
     pool.close_all(id);
     placer.forget(id);
     health.discard(id);
-    log_crash(crashes.record_restarted(id, now()));
+    process_crash(crashes.record_restarted(id, now()));
     std::vector<std::shared_ptr<request_session>> affected;
     if (const auto found = in_flight_.find(id); found != in_flight_.end())
     {
@@ -298,15 +287,6 @@
     }
 }
 
-void core::log_crash(const std::optional<attempts::upstream_crash>& crash)
-{
-    if (crash)
-    {
-        log.line("upstream_crash",
-                 {{"upstream", crash->upstream.str()}, {"requests", crash->in_flight.size()}});
-    }
-}
-
 engine_usage core::engine_usage() const
 {
     router::engine_usage usage;
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libcaraway/http/owner_token.hpp"
 #include "libcaraway/http/server_connection.hpp"
 #include "libcaraway/http/upstream_pool.hpp"
 #include "libcaraway/metrics/registry.hpp"
@@ -25,6 +26,7 @@
 
 #include <memory>
 #include <random>
+#include <set>
 
 namespace caraway::router
 {
@@ -91,8 +93,11 @@
 
     void record_attempt_result(const base::upstream_id& id, const base::service_id& service,
                                scheduling::attempt_result result);
-    /// The connection to an upstream was lost before the answer was complete.
-    void record_lost_connection(const base::upstream_id& id, attempts::request_fingerprint request);
+    /// The connection to an upstream was lost before the answer was complete. `parts` are those of
+    /// the request's prompt, if its answer had at most begun.
+    void record_lost_connection(const routing::upstream& upstream,
+                                attempts::request_fingerprint request,
+                                const routing::part_fingerprints& parts);
     /// No connection to the upstream could be opened.
     void record_unreachable(const base::upstream_id& id);
     /// An upstream answered a request with a rest: it wants nothing from this router for `rest`.
@@ -102,6 +107,10 @@
     /// A new process runs under the upstream's id. `process_start` is its start time since the Unix
     /// epoch by the upstream's clock.
     void record_restart(const base::upstream_id& id, std::chrono::milliseconds process_start);
+    /// Adds what a peer knows of parts of prompts that crash upstreams.
+    void merge_suspected_parts(const std::vector<routing::part_evidence>& received);
+    /// Refuses waiting requests if further parts of prompts are known to crash upstreams.
+    void apply_new_causes();
     /// Adds a request to those in flight at the upstream, or removes it.
     void track_in_flight(const base::upstream_id& id, request_session& session);
     void untrack_in_flight(const base::upstream_id& id, request_session& session);
@@ -176,12 +185,18 @@
     std::optional<base::time_point> reject_from;
 
 private:
-    void log_crash(const std::optional<attempts::upstream_crash>& crash);
+    void process_crash(const std::optional<attempts::upstream_crash>& crash);
+    /// Finds out whether the upstream has crashed, unless that is being done.
+    void check_crashed(const routing::upstream& upstream);
 
     std::shared_ptr<const routing::route_table> table_;
     std::map<routing::wait_id, std::weak_ptr<request_session>> waiting_;
     std::map<base::upstream_id, std::map<request_session*, std::weak_ptr<request_session>>>
         in_flight_;
+    /// Upstreams of which it is being checked whether they have crashed.
+    std::set<base::upstream_id> checked_upstreams_;
+    std::set<routing::part_fingerprints> known_causes_;
+    http::owner_token owner_;
     std::mt19937_64 random_;
     bool dispatching_ = false;
 };
--- /dev/null
+++ b/src/libcaraway/router/core_crashes.cpp
@@ -0,0 +1,122 @@
+// Crashes of upstreams: how they are noticed, and what follows for requests that cause them.
+#include "libcaraway/router/core.hpp"
+
+#include "libcaraway/http/connection_check.hpp"
+#include "libcaraway/router/request_session.hpp"
+
+namespace caraway::router
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// A process that ends may close its connections before it stops listening.
+constexpr milliseconds crash_check_delay{20};
+constexpr milliseconds crash_check_timeout{300};
+
+nlohmann::json to_json(const routing::part_fingerprints& parts)
+{
+    auto encoded = nlohmann::json::array();
+    for (const auto part : parts)
+    {
+        encoded.push_back(static_cast<std::uint64_t>(part));
+    }
+    return encoded;
+}
+
+}  // namespace
+
+void core::record_lost_connection(const routing::upstream& upstream,
+                                  attempts::request_fingerprint request,
+                                  const routing::part_fingerprints& parts)
+{
+    process_crash(crashes.record_lost(upstream.id, request, parts, now()));
+    // Without a check a crash is noticed only when a later request is sent there, if one is.
+    if (!parts.empty())
+    {
+        check_crashed(upstream);
+    }
+}
+
+void core::record_unreachable(const base::upstream_id& id)
+{
+    process_crash(crashes.record_unreachable(id, now()));
+}
+
+void core::merge_suspected_parts(const std::vector<routing::part_evidence>& received)
+{
+    crashes.merge(received, now());
+    apply_new_causes();
+}
+
+void core::check_crashed(const routing::upstream& upstream)
+{
+    if (!checked_upstreams_.insert(upstream.id).second)
+    {
+        return;
+    }
+    const auto on_result = [this, id = upstream.id](http::listening result)
+    {
+        checked_upstreams_.erase(id);
+        if (result == http::listening::no)
+        {
+            record_unreachable(id);
+        }
+        else if (result == http::listening::yes)
+        {
+            crashes.record_reachable(id);
+        }
+    };
+    timers.after(
+        crash_check_delay, [this, address = upstream.address, on_result]
+        { http::check_listening(loop, address, crash_check_timeout, owner_.guard(on_result)); });
+}
+
+void core::process_crash(const std::optional<attempts::upstream_crash>& crash)
+{
+    if (!crash)
+    {
+        return;
+    }
+    log.line("upstream_crash",
+             {{"upstream", crash->upstream.str()}, {"requests", crash->in_flight.size()}});
+    apply_new_causes();
+}
+
+void core::apply_new_causes()
+{
+    bool any_new = false;
+    for (const auto& cause : crashes.parts().causes())
+    {
+        if (crashes.parts().is_refused(cause, now()) && known_causes_.insert(cause.parts).second)
+        {
+            any_new = true;
+            log.line("parts_refused",
+                     {{"parts", to_json(cause.parts)}, {"crashes", cause.crashes}});
+        }
+    }
+    if (crashes.parts().causes().empty())
+    {
+        known_causes_.clear();
+    }
+    if (!any_new)
+    {
+        return;
+    }
+    std::vector<std::shared_ptr<request_session>> sessions;
+    for (const auto& [unused, session] : waiting_)
+    {
+        sessions.push_back(session.lock());
+    }
+    for (const auto& session : sessions)
+    {
+        if (session)
+        {
+            session->refuse_if_crashing();
+        }
+    }
+}
+
+}  // namespace caraway::router
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -218,6 +218,7 @@
     record_versions(now);
     core_.health.expire_rests(now);
     core_.expire_waiting();
+    core_.apply_new_causes();
     core_.dispatch_waiting();
     choose_table_source(now);
     link_.send_due_digests();
@@ -229,6 +230,7 @@
         core_.pool.sweep();
         peers_.remove_expired(now);
         origins_.expire();
+        core_.crashes.expire(now);
         update_limits_per_router();
         core_.set_share_capacity();
     }
--- a/src/libcaraway/router/daemon_peers.cpp
+++ b/src/libcaraway/router/daemon_peers.cpp
@@ -339,6 +339,7 @@
     digest.zones = core_.directory.zones().updates();
     digest.tables = tables();
     digest.keeps_origins = true;
+    digest.suspected_parts = core_.crashes.part_entries(now);
     return digest;
 }
 
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -259,6 +259,10 @@
     {
         core_.crashes.merge(received.suspects, now);
     }
+    if (!received.suspected_parts.empty())
+    {
+        core_.merge_suspected_parts(received.suspected_parts);
+    }
 }
 
 }  // namespace caraway::router
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -135,7 +135,8 @@
     last_connect_time_ = core_.now() - current.sent_at;
     last_upstreams_age_ = core_.upstreams_age();
     const bool is_usable = core_.directory.is_usable(current.placement.target.id);
-    if (!is_current || !is_usable || is_past_deadline())
+    const bool is_refused = refused_until().has_value();
+    if (!is_current || !is_usable || is_refused || is_past_deadline())
     {
         ++core_.requests_withheld;
         return false;
@@ -158,6 +159,10 @@
     const bool success = head.result_int() >= 200 && head.result_int() < 300;
     current.is_stream = success && current.metadata.verified && route_->streaming &&
                         view(head[http::field::content_type]).starts_with("text/event-stream");
+    if (!current.is_stream)
+    {
+        current.answer_begun = core_.now();
+    }
 }
 
 void request_session::on_body(attempt& current, std::string_view part)
@@ -182,6 +187,7 @@
     std::string new_events;
     while (const auto event = current.events.next())
     {
+        current.answer_begun = current.answer_begun.value_or(current.last_activity);
         // After a resume, events that the caller already has are skipped.
         const bool repeated = event->id && last_event_id_ && *event->id <= *last_event_id_;
         if (repeated)
@@ -194,6 +200,7 @@
         }
         new_events += event->text;
     }
+    record_sound_answer(current, false);
     if (new_events.empty())
     {
         return;
@@ -261,12 +268,14 @@
     {
         on_attempt_ended(attempt_outcome::upstream_error);
     }
-    else if (current.is_stream && current.events.has_partial_event())
+    else if (!is_whole(current))
     {
+        record_lost_connection(current);
         on_attempt_ended(attempt_outcome::truncated);
     }
     else
     {
+        record_sound_answer(current, true);
         on_attempt_ended(attempt_outcome::answered);
     }
 }
@@ -280,29 +289,11 @@
     else if (failure != http::call_failure::withheld)
     {
         current.connection_lost = true;
-        core_.record_lost_connection(current.placement.target.id, fingerprint());
+        record_lost_connection(current);
     }
     on_attempt_ended(outcome_of(failure));
 }
 
-/// A connection to a process that is gone may stay silent forever, so the attempt is failed here.
-/// Clocks of VMs differ and jump: an attempt that was sent at about the time when the new process
-/// started is left to its connection, and so is one that received data recently.
-void request_session::on_upstream_restarted(base::duration uptime)
-{
-    constexpr std::chrono::seconds clock_tolerance{1};
-    const auto now = core_.now();
-    const bool sent_before_restart = attempt_ && now - attempt_->sent_at > uptime + clock_tolerance;
-    if (ended_ || !sent_before_restart || now - attempt_->last_activity < clock_tolerance)
-    {
-        return;
-    }
-    const auto keep = shared_from_this();
-    const auto current = attempt_;
-    on_failed(*current,
-              current->head ? http::call_failure::truncated_answer : http::call_failure::no_answer);
-}
-
 void request_session::on_attempt_ended(attempt_outcome outcome)
 {
     const auto last = attempt_;
@@ -370,37 +361,6 @@
     core_.dispatch_waiting();
 }
 
-void request_session::log_attempt(const attempt& last, attempt_outcome outcome, next_step step)
-{
-    nlohmann::ordered_json line{{"request", metadata_.id.str()},
-                                {"upstream", last.placement.target.id.str()},
-                                {"software", last.placement.target.software.str()},
-                                {"end", routing::name(outcome)},
-                                {"status", last.head ? last.head->result_int() : 0},
-                                {"took_ms", to_milliseconds(core_.now() - last.sent_at).count()},
-                                {"rest_left_ms", last.rest_left.count()},
-                                {"next", routing::name(step)}};
-    const bool may_have_run =
-        outcome == attempt_outcome::unknown || outcome == attempt_outcome::truncated;
-    if (may_have_run && service_->engine)
-    {
-        line["connection_lost"] = last.connection_lost;
-        line["has_events"] = last.prefilled;
-        line["parts"] = shared_parts();
-    }
-    core_.log.request_line("attempt", line);
-}
-
-std::vector<std::string> request_session::shared_parts() const
-{
-    std::vector<std::string> ids;
-    for (std::size_t index = 0; index + 1 < metadata_.parts.size(); ++index)
-    {
-        ids.push_back(metadata_.parts[index].id);
-    }
-    return ids;
-}
-
 /// Shares count what callers receive. Upstreams that crash lose a flooding workspace's requests,
 /// some ten thousand tokens each. Counted as served, these kept the workspace from being placed for
 /// the whole share window, while others got three times as much.
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -60,7 +60,7 @@
     {
         request_->respond(head_for_caller(*current.head), current.body);
     }
-    if (core_.crashes.has_suspects())
+    if (core_.crashes.has_suspects() && !http::ends_with_connection(*current.head))
     {
         core_.crashes.record_completed(fingerprint(), core_.now());
     }
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -168,11 +168,6 @@
 
 void request_session::place_or_enqueue()
 {
-    if (is_crash_suspect())
-    {
-        fail_unplaced("crashes_upstreams");
-        return;
-    }
     if (try_place())
     {
         return;
@@ -226,6 +221,10 @@
         on_deadline();
         return true;
     }
+    if (refuse_if_crashing())
+    {
+        return true;
+    }
     auto placement = find_placement();
     if (!placement)
     {
@@ -397,24 +396,6 @@
     return static_cast<std::uint32_t>(default_output_ratio * metadata_.max_output_tokens);
 }
 
-attempts::request_fingerprint request_session::fingerprint()
-{
-    if (fingerprint_)
-    {
-        return *fingerprint_;
-    }
-    const auto body = scheduling::stable_hash(request_->body());
-    const auto content = std::string(request_->head().method_string()) + ' ' +
-                         std::string(request_->head().target()) + ' ' + std::to_string(body);
-    fingerprint_ = attempts::fingerprint_of(workspace_id_, service_->id, content);
-    return *fingerprint_;
-}
-
-bool request_session::is_crash_suspect()
-{
-    return core_.crashes.has_suspects() && core_.crashes.refuses(fingerprint(), core_.now());
-}
-
 bool request_session::is_past_deadline() const
 {
     return core_.now() >= deadline_;
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -20,6 +20,8 @@
     /// to wait.
     bool try_place();
     void on_wait_expired();
+    /// Refuses the request if it is known to crash upstreams. Returns whether it is.
+    bool refuse_if_crashing();
     /// A new process, with this uptime by its own clock, replaced the upstream that the request was
     /// sent to.
     void on_upstream_restarted(base::duration uptime);
@@ -43,6 +45,8 @@
         bool prefilled = false;
         /// The connection ended before the answer was complete.
         bool connection_lost = false;
+        /// When the answer began: with a stream's first whole event, else with its head.
+        std::optional<base::time_point> answer_begun;
         /// Start of the silence: when events last arrived, or else when the request was sent.
         base::time_point last_activity{};
         http::timer_queue::handle silence_timer;
@@ -88,6 +92,11 @@
     void begin_answer(const attempt& current);
     void record_event_gap();
 
+    /// Whether nothing is missing of the answer, as far as its end shows.
+    static bool is_whole(const attempt& ended);
+    void record_lost_connection(const attempt& lost);
+    /// The answer goes on, or is complete: the upstream didn't crash as it began.
+    void record_sound_answer(const attempt& current, bool complete);
     void on_attempt_ended(routing::attempt_outcome outcome);
     void log_attempt(const attempt& last, routing::attempt_outcome outcome,
                      routing::next_step step);
@@ -122,9 +131,11 @@
     bool is_idempotent() const;
     /// Identifies the request, body included, when its caller sends it again to any router.
     attempts::request_fingerprint fingerprint();
-    /// Upstreams crashed while they ran this request, sent by this router or others, so that it
-    /// must not be sent again.
-    bool is_crash_suspect();
+    /// The prompt's parts that other requests may have as well.
+    const routing::part_fingerprints& part_fingerprints();
+    /// Until when the request is refused, as upstreams crashed while they ran it or others with the
+    /// same parts, sent by this router or others; empty if it may run.
+    std::optional<base::time_point> refused_until();
     /// Identifies the request at any router without hashing the body: cheap enough for each
     /// request.
     routing::request_fingerprint mark() const;
@@ -162,6 +173,7 @@
     bool ended_ = false;
     /// Computed on first use, as few requests need it.
     std::optional<attempts::request_fingerprint> fingerprint_;
+    std::optional<routing::part_fingerprints> part_fingerprints_;
     std::optional<std::uint64_t> last_event_id_;
     /// Version that sent the first event of the stream, which no other may continue. Empty before
     /// that event; an empty version if it isn't known.
--- a/src/libcaraway/routing/crash_tracker.hpp
+++ b/src/libcaraway/routing/crash_tracker.hpp
@@ -2,6 +2,7 @@
 
 #include "libcaraway/attempts/crash_detector.hpp"
 #include "libcaraway/attempts/crash_suspects.hpp"
+#include "libcaraway/routing/part_suspects.hpp"
 
 #include <limits>
 
@@ -24,6 +25,11 @@
                                      .refusal_duration = std::chrono::seconds(300)};
     /// Entries in one digest, of 30 bytes each; few requests are suspects at a time.
     std::size_t max_digest_entries = 16;
+    part_suspect_options parts{};
+    /// Connections to a crashed upstream are lost within this time; larger than the delays of a
+    /// network.
+    std::chrono::milliseconds loss_spread{200};
+    std::chrono::seconds crash_retention{10};
 };
 
 /// Detects requests that crash every upstream that runs them, across the fleet, and decides when
@@ -32,6 +38,9 @@
 ///
 /// Suspects run like other requests until they are refused: quarantining all requests that were in
 /// flight during a crash would delay some thirty requests for each one that caused it.
+///
+/// Parts of prompts that crash upstreams in requests no two alike are found beside them, from the
+/// same crashes.
 class crash_tracker
 {
 public:
@@ -43,11 +52,22 @@
         return suspects_.size() > 0;
     }
     bool refuses(attempts::request_fingerprint request, base::time_point now) const;
+    /// How long a request is refused after its last crash.
+    std::chrono::milliseconds refusal_duration() const
+    {
+        return options_.suspects.refusal_duration;
+    }
+    const part_suspects& parts() const
+    {
+        return parts_;
+    }
 
-    /// Records that the connection to the upstream ended before the answer was complete. Returns
-    /// the crash if one is detected.
+    /// Records that the connection to the upstream ended before the answer was complete. `parts`
+    /// are those of the request's prompt, if its answer had at most begun. Returns the crash if one
+    /// is detected.
     std::optional<attempts::upstream_crash> record_lost(const base::upstream_id& upstream,
                                                         attempts::request_fingerprint request,
+                                                        const part_fingerprints& parts,
                                                         base::time_point now);
     /// Records that a new connection was refused or could not be made. Returns the crash if one is
     /// detected.
@@ -60,19 +80,48 @@
                                                              base::time_point now);
     /// Records that the complete answer of a request was received.
     void record_completed(attempts::request_fingerprint request, base::time_point now);
+    /// Records that an answer to a request with these parts began at `began`, and went on.
+    void record_sound(const part_fingerprints& parts, base::time_point began)
+    {
+        parts_.record_sound(parts, began);
+    }
+    /// Records that the upstream accepts connections, so that the connections lost there before
+    /// were single ones.
+    void record_reachable(const base::upstream_id& upstream);
 
     /// Suspects for the digest to the other routers, at most `max_digest_entries`.
     std::vector<attempts::suspect_entry> entries(base::time_point now) const;
+    std::vector<part_evidence> part_entries(base::time_point now) const
+    {
+        return parts_.entries(now);
+    }
     /// Adds the suspects from the digest of another router.
     void merge(const std::vector<attempts::suspect_entry>& peer_entries, base::time_point now);
+    void merge(const std::vector<part_evidence>& peer_entries, base::time_point now)
+    {
+        parts_.merge(peer_entries, now);
+    }
+    void expire(base::time_point now);
 
 private:
-    /// Counts a crash against the requests that were in flight.
+    /// Parts of the requests lost at one upstream, not yet known to have crashed.
+    struct lost_parts
+    {
+        part_fingerprints parts;
+        base::time_point first_lost{};
+        base::time_point last_lost{};
+    };
+
+    /// Counts a crash against the requests that were in flight, and their parts.
     void attribute(const std::optional<attempts::upstream_crash>& crash, base::time_point now);
 
     crash_tracker_options options_;
     attempts::crash_detector detector_;
     attempts::crash_suspects suspects_;
+    part_suspects parts_;
+    std::map<base::upstream_id, lost_parts> lost_parts_;
+    /// When upstreams crashed. What is lost there later was sent to a process that is gone.
+    std::map<base::upstream_id, base::time_point> crashed_;
 };
 
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/digest.cpp
+++ b/src/libcaraway/routing/digest.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t field_count = 21;
 /// Absent in digests of routers that don't know about origins.
 constexpr std::size_t keeps_origins_position = 21;
+/// Absent in digests of routers that don't suspect parts of prompts.
+constexpr std::size_t suspected_parts_position = 22;
 
 json loads_json(const upstream_loads& loads)
 {
@@ -131,6 +133,49 @@
     return marks;
 }
 
+json suspected_parts_json(const std::vector<part_evidence>& suspected)
+{
+    auto out = json::array();
+    for (const auto& each : suspected)
+    {
+        auto crashes = json::array();
+        for (const auto& crash : each.crashes)
+        {
+            crashes.push_back({static_cast<std::uint32_t>(crash.upstream), crash.age.count()});
+        }
+        json entry{static_cast<std::uint64_t>(each.part), std::move(crashes)};
+        if (each.sound_age)
+        {
+            entry.push_back(each.sound_age->count());
+        }
+        out.push_back(std::move(entry));
+    }
+    return out;
+}
+
+std::vector<part_evidence> parse_suspected_parts(const json& encoded)
+{
+    constexpr std::size_t sound_age_position = 2;
+    std::vector<part_evidence> suspected;
+    for (const auto& each : encoded)
+    {
+        part_evidence evidence{.part = part_fingerprint{each.at(0).get<std::uint64_t>()}};
+        for (const auto& crash : each.at(1))
+        {
+            evidence.crashes.push_back(
+                {.upstream = attempts::upstream_fingerprint{crash.at(0).get<std::uint32_t>()},
+                 .age = std::chrono::milliseconds(crash.at(1).get<std::uint32_t>())});
+        }
+        if (each.size() > sound_age_position)
+        {
+            evidence.sound_age =
+                std::chrono::milliseconds(each.at(sound_age_position).get<std::uint32_t>());
+        }
+        suspected.push_back(std::move(evidence));
+    }
+    return suspected;
+}
+
 json prefill_records_json(const prefill_records& prefill_samples)
 {
     auto out = json::array();
@@ -216,7 +261,10 @@
             .zones = parse_zone_updates(encoded.at(20)),
             .tables = parse_tables(encoded.at(18)),
             .keeps_origins = encoded.size() > keeps_origins_position &&
-                             encoded.at(keeps_origins_position).get<bool>()};
+                             encoded.at(keeps_origins_position).get<bool>(),
+            .suspected_parts = encoded.size() > suspected_parts_position
+                                   ? parse_suspected_parts(encoded.at(suspected_parts_position))
+                                   : std::vector<part_evidence>{}};
 }
 
 }  // namespace
@@ -244,7 +292,8 @@
                                      tables_json(message.tables),
                                      leaving_json(message.leaving),
                                      zone_updates_json(message.zones),
-                                     message.keeps_origins});
+                                     message.keeps_origins,
+                                     suspected_parts_json(message.suspected_parts)});
     std::string out;
     json::to_cbor(fields, out);
     return out;
--- a/src/libcaraway/routing/digest.hpp
+++ b/src/libcaraway/routing/digest.hpp
@@ -4,6 +4,7 @@
 #include "libcaraway/base/error.hpp"
 #include "libcaraway/base/units.hpp"
 #include "libcaraway/routing/load_tracker.hpp"
+#include "libcaraway/routing/part_suspects.hpp"
 #include "libcaraway/routing/prefill_pace.hpp"
 #include "libcaraway/routing/refused_requests.hpp"
 #include "libcaraway/routing/table_relay.hpp"
@@ -59,6 +60,8 @@
     table_state tables;
     /// Whether the sender keeps origins of other routers' streams.
     bool keeps_origins = false;
+    /// Parts of prompts suspected of crashing upstreams.
+    std::vector<part_evidence> suspected_parts;
 };
 
 /// Encodes the digest as CBOR (RFC 8949).
--- a/tests/routing/test_crash_tracker.cpp
+++ b/tests/routing/test_crash_tracker.cpp
@@ -23,7 +23,7 @@
 void crash(crash_tracker& tracker, int number, attempts::request_fingerprint request,
            base::time_point now = start)
 {
-    tracker.record_lost(make_upstream(number), request, now);
+    tracker.record_lost(make_upstream(number), request, {}, now);
     tracker.record_unreachable(make_upstream(number), now + 50ms);
 }
 
@@ -56,8 +56,8 @@
     crash_tracker tracker;
     for (int number = 1; number <= 6; ++number)
     {
-        tracker.record_lost(make_upstream(number), crashing_request, start);
-        tracker.record_lost(make_upstream(number), harmless_request, start);
+        tracker.record_lost(make_upstream(number), crashing_request, {}, start);
+        tracker.record_lost(make_upstream(number), harmless_request, {}, start);
     }
 
     BOOST_TEST(!tracker.has_suspects());
