Part suspects: a part of which only a sound answer is left can be told to others

Found by reading: a digest with a crash and a sound answer of the same millisecond left an entry without its share of the explanation, and the next digest to send ended the process (std::out_of_range). Its test failed so before.

--- a/src/libcaraway/routing/part_suspects.cpp
+++ b/src/libcaraway/routing/part_suspects.cpp
@@ -137,12 +137,13 @@
     bool changed = false;
     for (const auto& received : peer_entries)
     {
-        const auto known = suspects_.find(received.part);
-        if (known == suspects_.end() && received.crashes.empty())
+        const bool is_known = suspects_.contains(received.part);
+        if (!is_known && received.crashes.empty())
         {
             continue;
         }
         auto& entry = suspects_[received.part];
+        changed = changed || !is_known;
         if (received.sound_age)
         {
             changed = add_sound(entry, now - *received.sound_age) || changed;
--- a/tests/routing/test_part_suspects.cpp
+++ b/tests/routing/test_part_suspects.cpp
@@ -268,6 +268,19 @@
     BOOST_TEST(refuses({crashing}, 2));
 }
 
+// The peer's crashes and its sound answer arrive in one digest, in which the answer is younger.
+BOOST_AUTO_TEST_CASE(a_part_of_which_only_a_sound_answer_is_left_can_be_told_to_others)
+{
+    const std::vector<part_evidence> received{
+        {.part = document,
+         .crashes = {{.upstream = attempts::upstream_fingerprint{1}, .age = 500ms}},
+         .sound_age = 100ms}};
+    here().merge(received, now);
+
+    BOOST_TEST(here().entries(now).empty());
+    BOOST_TEST(!refuses({document}));
+}
+
 BOOST_AUTO_TEST_CASE(a_refusal_ends_and_one_more_crash_renews_it)
 {
     crash_times(crashes_until_refused, {crashing});
