Routing, Router: a connection that nobody answers is no evidence of a crash

Found by reading: any connection that couldn't be opened counted as refused, so a cut link looked like a crash of each upstream behind it. The parts of requests lost there were charged, and four such upstreams would have refused them for ten minutes; whole requests from the third on, for five. Now only a refused connection counts, as the comment on it had said.

--- a/src/libcaraway/http/client_connection.cpp
+++ b/src/libcaraway/http/client_connection.cpp
@@ -115,6 +115,7 @@
                               self->timers_.cancel(self->connect_deadline_);
                               if (failed)
                               {
+                                  self->refused_ = failed == boost::asio::error::connection_refused;
                                   self->fail();
                                   return;
                               }
--- a/src/libcaraway/http/client_connection.hpp
+++ b/src/libcaraway/http/client_connection.hpp
@@ -67,6 +67,11 @@
     /// Closes the connection and cancels the call in progress, if any, without calling its events.
     void close();
 
+    /// Whether the last attempt to connect was refused: nobody listens at the address.
+    bool was_refused() const
+    {
+        return refused_;
+    }
     /// Whether the connection is open and no call is in progress.
     bool is_reusable() const;
     /// When the last call completed.
@@ -116,6 +121,7 @@
     bool call_in_progress_ = false;
     bool open_ = false;
     bool closed_ = false;
+    bool refused_ = false;
     bool write_started_ = false;
     bool write_completed_ = false;
     bool head_seen_ = false;
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -98,8 +98,8 @@
     void record_lost_connection(const routing::upstream& upstream,
                                 attempts::request_fingerprint request,
                                 const routing::part_fingerprints& parts);
-    /// No connection to the upstream could be opened.
-    void record_unreachable(const base::upstream_id& id);
+    /// Nobody listens at the upstream's address.
+    void record_refused_connection(const base::upstream_id& id);
     /// An upstream answered a request with a rest: it wants nothing from this router for `rest`.
     void record_rest(const base::upstream_id& id, std::chrono::milliseconds rest);
     /// An upstream announced in an answer that it is shutting down.
--- a/src/libcaraway/router/core_crashes.cpp
+++ b/src/libcaraway/router/core_crashes.cpp
@@ -40,9 +40,9 @@
     }
 }
 
-void core::record_unreachable(const base::upstream_id& id)
+void core::record_refused_connection(const base::upstream_id& id)
 {
-    process_crash(crashes.record_unreachable(id, now()));
+    process_crash(crashes.record_refused_connection(id, now()));
 }
 
 void core::merge_suspected_parts(const std::vector<routing::part_evidence>& received)
@@ -62,7 +62,7 @@
         checked_upstreams_.erase(id);
         if (result == http::listening::no)
         {
-            record_unreachable(id);
+            record_refused_connection(id);
         }
         else if (result == http::listening::yes)
         {
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -282,11 +282,13 @@
 
 void request_session::on_failed(attempt& current, http::call_failure failure)
 {
-    if (failure == http::call_failure::not_connected)
+    const bool was_sent =
+        failure == http::call_failure::no_answer || failure == http::call_failure::truncated_answer;
+    if (current.connection->was_refused())
     {
-        core_.record_unreachable(current.placement.target.id);
+        core_.record_refused_connection(current.placement.target.id);
     }
-    else if (failure != http::call_failure::withheld)
+    else if (was_sent)
     {
         current.connection_lost = true;
         record_lost_connection(current);
--- a/src/libcaraway/routing/crash_tracker.cpp
+++ b/src/libcaraway/routing/crash_tracker.cpp
@@ -33,7 +33,7 @@
 }
 
 std::optional<attempts::upstream_crash>
-crash_tracker::record_unreachable(const base::upstream_id& upstream, base::time_point now)
+crash_tracker::record_refused_connection(const base::upstream_id& upstream, base::time_point now)
 {
     auto crash = detector_.record_unreachable(upstream, now);
     attribute(crash, now);
@@ -43,7 +43,7 @@
 std::optional<attempts::upstream_crash>
 crash_tracker::record_restarted(const base::upstream_id& upstream, base::time_point now)
 {
-    auto crash = record_unreachable(upstream, now);
+    auto crash = record_refused_connection(upstream, now);
     record_reachable(upstream);
     return crash;
 }
--- a/src/libcaraway/routing/crash_tracker.hpp
+++ b/src/libcaraway/routing/crash_tracker.hpp
@@ -69,10 +69,10 @@
                                                         attempts::request_fingerprint request,
                                                         const part_fingerprints& parts,
                                                         base::time_point now);
-    /// Records that a new connection was refused or could not be made. Returns the crash if one is
-    /// detected.
-    std::optional<attempts::upstream_crash> record_unreachable(const base::upstream_id& upstream,
-                                                               base::time_point now);
+    /// Records that a new connection was refused. One that is not answered is no evidence: links
+    /// are cut, too. Returns the crash if one is detected.
+    std::optional<attempts::upstream_crash>
+    record_refused_connection(const base::upstream_id& upstream, base::time_point now);
     /// Records that another process runs under the id of the upstream. If connections were lost
     /// shortly before, the previous process crashed, and the crash is returned. The losses are then
     /// cleared, as later events concern the new process only.
--- a/tests/routing/test_crash_tracker.cpp
+++ b/tests/routing/test_crash_tracker.cpp
@@ -24,7 +24,7 @@
            base::time_point now = start)
 {
     tracker.record_lost(make_upstream(number), request, {}, now);
-    tracker.record_unreachable(make_upstream(number), now + 50ms);
+    tracker.record_refused_connection(make_upstream(number), now + 50ms);
 }
 
 }  // namespace
--- a/tests/routing/test_part_suspects.cpp
+++ b/tests/routing/test_part_suspects.cpp
@@ -2,6 +2,7 @@
 #include "libcaraway/routing/part_suspects.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include <random>
 
@@ -281,6 +282,18 @@
     BOOST_TEST(!refuses({document}));
 }
 
+BOOST_AUTO_TEST_CASE(digests_of_routers_that_know_no_suspected_parts_are_read)
+{
+    auto fields = nlohmann::json::from_cbor(encode(digest{.sender = base::node_id("r1")}));
+    fields.erase(fields.size() - 1);
+    std::string bytes;
+    nlohmann::json::to_cbor(fields, bytes);
+    const auto received = decode(bytes);
+
+    BOOST_REQUIRE(received.has_value());
+    BOOST_TEST(received.value().suspected_parts.empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_refusal_ends_and_one_more_crash_renews_it)
 {
     crash_times(crashes_until_refused, {crashing});
