Part suspects: the parts of the newest crashes are told first

Found by reading: a digest held the parts with the most crashes, and among equals those with the least hash. Each crash leaves parts of sound requests behind that nothing clears; beside more of them than a digest holds, the part that crashed upstreams at one router after the other wasn't told, and its crashes never added up. Now the newest come first among equals, and the oldest are evicted first. Its test failed before at all four routers.

--- a/src/libcaraway/routing/part_suspects.cpp
+++ b/src/libcaraway/routing/part_suspects.cpp
@@ -17,6 +17,18 @@
     return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(now - at));
 }
 
+/// Order in which parts are sent. Of those with equally many crashes the latest come first, as
+/// others don't know of these yet.
+std::pair<std::size_t, milliseconds> rank_of(const part_evidence& evidence)
+{
+    auto newest_age = milliseconds::max();
+    for (const auto& crash : evidence.crashes)
+    {
+        newest_age = std::min(newest_age, crash.age);
+    }
+    return {evidence.crashes.size(), -newest_age};
+}
+
 }  // namespace
 
 part_fingerprints shared_parts(const std::vector<prompt_part>& parts)
@@ -126,8 +138,7 @@
         }
     }
     std::stable_sort(result.begin(), result.end(),
-                     [](const auto& a, const auto& b)
-                     { return a.crashes.size() > b.crashes.size(); });
+                     [](const auto& a, const auto& b) { return rank_of(a) > rank_of(b); });
     result.resize(std::min(result.size(), options_.max_digest_entries));
     return result;
 }
@@ -298,10 +309,13 @@
 {
     while (suspects_.size() > options_.capacity)
     {
+        const auto rank = [this](const auto& entry)
+        {
+            return std::pair(entry.second.crashes.size(), expiry(entry.second));
+        };
         const auto first =
             std::min_element(suspects_.begin(), suspects_.end(),
-                             [](const auto& a, const auto& b)
-                             { return a.second.crashes.size() < b.second.crashes.size(); });
+                             [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
         suspects_.erase(first);
     }
 }
--- a/tests/routing/test_part_suspects.cpp
+++ b/tests/routing/test_part_suspects.cpp
@@ -332,6 +332,34 @@
     BOOST_TEST(refuses({crashing}));
 }
 
+// Each crash leaves parts of sound requests behind that no answer clears, and different routers
+// see the crashes under the one part.
+BOOST_AUTO_TEST_CASE(crashes_add_up_beside_more_parts_than_a_digest_holds)
+{
+    routers.resize(4);
+    int rare = 0;
+    for (std::size_t count = 0; count < crashes_until_refused; ++count)
+    {
+        for (std::size_t router = 0; router < routers.size(); ++router)
+        {
+            part_fingerprints lost;
+            for (std::size_t part = 0; part < part_suspect_options{}.max_digest_entries; ++part)
+            {
+                lost.push_back(part_fingerprint{static_cast<std::uint64_t>(rare++)});
+            }
+            crash(lost, router);
+            exchange();
+        }
+        crash({part_fingerprint{~std::uint64_t{0}}}, count);
+        exchange();
+    }
+
+    for (std::size_t router = 0; router < routers.size(); ++router)
+    {
+        BOOST_TEST(refuses({part_fingerprint{~std::uint64_t{0}}}, router));
+    }
+}
+
 // Sound requests and their parts at random, beside parts that crash every upstream.
 BOOST_AUTO_TEST_CASE(only_parts_that_crash_upstreams_are_refused_in_random_traffic)
 {
