Routing: a folder and a namespace for each of entry, engines, parts and returns

What is there of each subject moves in: the overload guard; loads, reading speed and slow starts of upstreams; parts that crash upstreams; the wait queue and refused requests. No behaviour changes.

--- a/cmake/router.cmake
+++ b/cmake/router.cmake
@@ -2,7 +2,7 @@
 # the users' platform. docs/design/users-platform.md has the figures.
 set(lib ${PROJECT_SOURCE_DIR}/src/libcaraway)
 file(GLOB router_sources CONFIGURE_DEPENDS
-    ${lib}/routing/*.cpp ${lib}/http/*.cpp ${lib}/telemetry/*.cpp ${lib}/router/*.cpp
+    ${lib}/routing/*.cpp ${lib}/routing/*/*.cpp ${lib}/http/*.cpp ${lib}/telemetry/*.cpp ${lib}/router/*.cpp
     ${PROJECT_SOURCE_DIR}/platform/*.cpp)
 # Parts of the older folders that need no Qt.
 list(APPEND router_sources
--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -22,10 +22,10 @@
     return options;
 }
 
-std::map<base::service_id, routing::warmup_limits>
+std::map<base::service_id, routing::engines::warmup_limits>
 warmup_limits_of(const routing::configuration& configuration)
 {
-    std::map<base::service_id, routing::warmup_limits> terms;
+    std::map<base::service_id, routing::engines::warmup_limits> terms;
     for (const auto& service : configuration.services)
     {
         if (service.warmup_rate > 0)
@@ -184,8 +184,8 @@
     }
 }
 
-routing::wait_id core::enqueue(const std::shared_ptr<request_session>& session,
-                               const routing::waiting_request& request)
+routing::returns::wait_id core::enqueue(const std::shared_ptr<request_session>& session,
+                                        const routing::returns::waiting_request& request)
 {
     const auto id = wait_queue.add(request);
     waiting_[id] = session;
@@ -193,7 +193,7 @@
     return id;
 }
 
-void core::dequeue(routing::wait_id id)
+void core::dequeue(routing::returns::wait_id id)
 {
     wait_queue.remove(id);
     waiting_.erase(id);
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -7,17 +7,17 @@
 #include "libcaraway/router/ports.hpp"
 #include "libcaraway/router/settings.hpp"
 #include "libcaraway/routing/crash_tracker.hpp"
-#include "libcaraway/routing/load_tracker.hpp"
+#include "libcaraway/routing/engines/load_tracker.hpp"
+#include "libcaraway/routing/engines/slow_start.hpp"
+#include "libcaraway/routing/entry/overload_guard.hpp"
 #include "libcaraway/routing/origin_lookups.hpp"
-#include "libcaraway/routing/overload_guard.hpp"
 #include "libcaraway/routing/peer_table.hpp"
 #include "libcaraway/routing/placer.hpp"
-#include "libcaraway/routing/refused_requests.hpp"
 #include "libcaraway/routing/retry_budget.hpp"
+#include "libcaraway/routing/returns/refused_requests.hpp"
+#include "libcaraway/routing/returns/wait_queue.hpp"
 #include "libcaraway/routing/route_table.hpp"
 #include "libcaraway/routing/served_versions.hpp"
-#include "libcaraway/routing/slow_start.hpp"
-#include "libcaraway/routing/wait_queue.hpp"
 #include "libcaraway/routing/workspace_shares.hpp"
 #include "libcaraway/scheduling/upstream_health.hpp"
 #include "libcaraway/telemetry/line_log.hpp"
@@ -87,9 +87,9 @@
     /// Rejects requests whose time in the wait queue has expired.
     void expire_waiting();
 
-    routing::wait_id enqueue(const std::shared_ptr<request_session>& session,
-                             const routing::waiting_request& request);
-    void dequeue(routing::wait_id id);
+    routing::returns::wait_id enqueue(const std::shared_ptr<request_session>& session,
+                                      const routing::returns::waiting_request& request);
+    void dequeue(routing::returns::wait_id id);
 
     void record_attempt_result(const base::upstream_id& id, const base::service_id& service,
                                scheduling::attempt_result result);
@@ -97,7 +97,7 @@
     /// the request's prompt, if its answer had at most begun.
     void record_lost_connection(const routing::upstream& upstream,
                                 attempts::request_fingerprint request,
-                                const routing::part_fingerprints& parts);
+                                const routing::parts::part_fingerprints& parts);
     /// Nobody listens at the upstream's address.
     void record_refused_connection(const base::upstream_id& id);
     /// An upstream answered a request with a rest: it wants nothing from this router for `rest`.
@@ -108,7 +108,7 @@
     /// epoch by the upstream's clock.
     void record_restart(const base::upstream_id& id, std::chrono::milliseconds process_start);
     /// Adds what a peer knows of parts of prompts that crash upstreams.
-    void merge_suspected_parts(const std::vector<routing::part_evidence>& received);
+    void merge_suspected_parts(const std::vector<routing::parts::part_evidence>& received);
     /// Refuses waiting requests if further parts of prompts are known to crash upstreams.
     void apply_new_causes();
     /// Adds a request to those in flight at the upstream, or removes it.
@@ -157,18 +157,18 @@
     metrics::registry metrics;
     routing::upstream_directory directory;
     routing::served_versions served_versions;
-    routing::slow_start slow_start;
-    routing::load_tracker load_tracker;
+    routing::engines::slow_start slow_start;
+    routing::engines::load_tracker load_tracker;
     routing::workspace_shares shares;
-    routing::wait_queue wait_queue;
+    routing::returns::wait_queue wait_queue;
     routing::retry_budget retries;
     routing::crash_tracker crashes;
-    routing::refused_requests refused_requests;
-    routing::overload_guard overload;
+    routing::returns::refused_requests refused_requests;
+    routing::entry::overload_guard overload;
     /// Requests to engines in flight: they take most of a router's CPU time.
     std::size_t active_streams = 0;
     routing::placer placer;
-    routing::prefill_pace prefill_pace;
+    routing::engines::prefill_pace prefill_pace;
     scheduling::scheduler_options health_options;
     scheduling::upstream_health health;
     /// Total since the process started, as are the next two counts.
@@ -190,12 +190,12 @@
     void check_crashed(const routing::upstream& upstream);
 
     std::shared_ptr<const routing::route_table> table_;
-    std::map<routing::wait_id, std::weak_ptr<request_session>> waiting_;
+    std::map<routing::returns::wait_id, std::weak_ptr<request_session>> waiting_;
     std::map<base::upstream_id, std::map<request_session*, std::weak_ptr<request_session>>>
         in_flight_;
     /// Upstreams of which it is being checked whether they have crashed.
     std::set<base::upstream_id> checked_upstreams_;
-    std::set<routing::part_fingerprints> known_causes_;
+    std::set<routing::parts::part_fingerprints> known_causes_;
     http::owner_token owner_;
     std::mt19937_64 random_;
     bool dispatching_ = false;
--- a/src/libcaraway/router/core_crashes.cpp
+++ b/src/libcaraway/router/core_crashes.cpp
@@ -16,7 +16,7 @@
 constexpr milliseconds crash_check_delay{20};
 constexpr milliseconds crash_check_timeout{300};
 
-nlohmann::json to_json(const routing::part_fingerprints& parts)
+nlohmann::json to_json(const routing::parts::part_fingerprints& parts)
 {
     auto encoded = nlohmann::json::array();
     for (const auto part : parts)
@@ -30,7 +30,7 @@
 
 void core::record_lost_connection(const routing::upstream& upstream,
                                   attempts::request_fingerprint request,
-                                  const routing::part_fingerprints& parts)
+                                  const routing::parts::part_fingerprints& parts)
 {
     process_crash(crashes.record_lost(upstream.id, request, parts, now()));
     // Without a check a crash is noticed only when a later request is sent there, if one is.
@@ -45,7 +45,7 @@
     process_crash(crashes.record_refused_connection(id, now()));
 }
 
-void core::merge_suspected_parts(const std::vector<routing::part_evidence>& received)
+void core::merge_suspected_parts(const std::vector<routing::parts::part_evidence>& received)
 {
     crashes.merge(received, now());
     apply_new_causes();
--- a/src/libcaraway/router/daemon_report.cpp
+++ b/src/libcaraway/router/daemon_report.cpp
@@ -19,7 +19,8 @@
 /// -1: there is no limit.
 std::int64_t limit_or_minus_one(std::size_t limit)
 {
-    return limit == routing::adaptive_limit::unlimited ? -1 : static_cast<std::int64_t>(limit);
+    return limit == routing::entry::adaptive_limit::unlimited ? -1
+                                                              : static_cast<std::int64_t>(limit);
 }
 
 nlohmann::ordered_json to_json(const routing::workspace_view& workspace)
--- a/src/libcaraway/router/request_crashes.cpp
+++ b/src/libcaraway/router/request_crashes.cpp
@@ -68,11 +68,11 @@
     return *fingerprint_;
 }
 
-const routing::part_fingerprints& request_session::part_fingerprints()
+const routing::parts::part_fingerprints& request_session::part_fingerprints()
 {
     if (!part_fingerprints_)
     {
-        part_fingerprints_ = routing::shared_parts(metadata_.parts);
+        part_fingerprints_ = routing::parts::shared_parts(metadata_.parts);
     }
     return *part_fingerprints_;
 }
@@ -112,7 +112,8 @@
         !lost.answer_begun || core_.now() - *lost.answer_begun < time_to_prove_sound;
     const bool counts_parts = at_beginning && service_->engine;
     core_.record_lost_connection(lost.placement.target, fingerprint(),
-                                 counts_parts ? part_fingerprints() : routing::part_fingerprints{});
+                                 counts_parts ? part_fingerprints()
+                                              : routing::parts::part_fingerprints{});
 }
 
 void request_session::record_sound_answer(const attempt& current, bool complete)
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -144,9 +144,9 @@
         return true;
     }
     const auto output = static_cast<double>(expected_output_tokens());
-    const routing::stream_effort effort{.tokens = metadata_.prompt_tokens + output,
-                                        .events = output /
-                                                  std::max(1U, service_->engine->tokens_per_event)};
+    const routing::entry::stream_effort effort{
+        .tokens = metadata_.prompt_tokens + output,
+        .events = output / std::max(1U, service_->engine->tokens_per_event)};
     if (!core_.overload.admits(effort, core_.active_streams, core_.random_unit()))
     {
         ++core_.overload_rejections;
@@ -356,7 +356,7 @@
     core_.dispatch_waiting();
 }
 
-routing::request_fingerprint request_session::mark() const
+routing::returns::request_fingerprint request_session::mark() const
 {
     using scheduling::combine;
     using scheduling::stable_hash;
@@ -369,7 +369,7 @@
     {
         hash = combine(hash, stable_hash(metadata_.parts.back().id));
     }
-    return routing::request_fingerprint{static_cast<std::uint32_t>(hash)};
+    return routing::returns::request_fingerprint{static_cast<std::uint32_t>(hash)};
 }
 
 routing::share_status request_session::share_status() const
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -132,13 +132,13 @@
     /// Identifies the request, body included, when its caller sends it again to any router.
     attempts::request_fingerprint fingerprint();
     /// The prompt's parts that other requests may have as well.
-    const routing::part_fingerprints& part_fingerprints();
+    const routing::parts::part_fingerprints& part_fingerprints();
     /// Until when the request is refused, as upstreams crashed while they ran it or others with the
     /// same parts, sent by this router or others; empty if it may run.
     std::optional<base::time_point> refused_until();
     /// Identifies the request at any router without hashing the body: cheap enough for each
     /// request.
-    routing::request_fingerprint mark() const;
+    routing::returns::request_fingerprint mark() const;
     routing::share_status share_status() const;
     /// Tokens charged to the workspace's share: prompt, and twice the expected output.
     double share_tokens() const;
@@ -156,7 +156,7 @@
     base::workspace_id workspace_id_;
     base::time_point deadline_{};
     http::timer_queue::handle deadline_timer_;
-    std::optional<routing::wait_id> wait_id_;
+    std::optional<routing::returns::wait_id> wait_id_;
     std::shared_ptr<attempt> attempt_;
     std::vector<base::upstream_id> tried_;
     /// Attempts that reached an upstream, and those of which nothing was sent.
@@ -173,7 +173,7 @@
     bool ended_ = false;
     /// Computed on first use, as few requests need it.
     std::optional<attempts::request_fingerprint> fingerprint_;
-    std::optional<routing::part_fingerprints> part_fingerprints_;
+    std::optional<routing::parts::part_fingerprints> part_fingerprints_;
     std::optional<std::uint64_t> last_event_id_;
     /// Version that sent the first event of the stream, which no other may continue. Empty before
     /// that event; an empty version if it isn't known.
--- a/src/libcaraway/routing/crash_tracker.cpp
+++ b/src/libcaraway/routing/crash_tracker.cpp
@@ -16,7 +16,7 @@
 
 std::optional<attempts::upstream_crash>
 crash_tracker::record_lost(const base::upstream_id& upstream, attempts::request_fingerprint request,
-                           const part_fingerprints& parts, base::time_point now)
+                           const parts::part_fingerprints& parts, base::time_point now)
 {
     const auto crashed = crashed_.find(upstream);
     const bool was_gone = crashed != crashed_.end() && now > crashed->second + options_.loss_spread;
--- a/src/libcaraway/routing/crash_tracker.hpp
+++ b/src/libcaraway/routing/crash_tracker.hpp
@@ -2,7 +2,7 @@
 
 #include "libcaraway/attempts/crash_detector.hpp"
 #include "libcaraway/attempts/crash_suspects.hpp"
-#include "libcaraway/routing/part_suspects.hpp"
+#include "libcaraway/routing/parts/part_suspects.hpp"
 
 #include <limits>
 
@@ -25,7 +25,7 @@
                                      .refusal_duration = std::chrono::seconds(300)};
     /// Entries in one digest, of 30 bytes each; few requests are suspects at a time.
     std::size_t max_digest_entries = 16;
-    part_suspect_options parts{};
+    parts::part_suspect_options parts{};
     /// Connections to a crashed upstream are lost within this time; larger than the delays of a
     /// network.
     std::chrono::milliseconds loss_spread{200};
@@ -57,7 +57,7 @@
     {
         return options_.suspects.refusal_duration;
     }
-    const part_suspects& parts() const
+    const parts::part_suspects& parts() const
     {
         return parts_;
     }
@@ -67,7 +67,7 @@
     /// is detected.
     std::optional<attempts::upstream_crash> record_lost(const base::upstream_id& upstream,
                                                         attempts::request_fingerprint request,
-                                                        const part_fingerprints& parts,
+                                                        const parts::part_fingerprints& parts,
                                                         base::time_point now);
     /// Records that a new connection was refused. One that is not answered is no evidence: links
     /// are cut, too. Returns the crash if one is detected.
@@ -81,7 +81,7 @@
     /// Records that the complete answer of a request was received.
     void record_completed(attempts::request_fingerprint request, base::time_point now);
     /// Records that an answer to a request with these parts began at `began`, and went on.
-    void record_sound(const part_fingerprints& parts, base::time_point began)
+    void record_sound(const parts::part_fingerprints& parts, base::time_point began)
     {
         parts_.record_sound(parts, began);
     }
@@ -91,13 +91,13 @@
 
     /// Suspects for the digest to the other routers, at most `max_digest_entries`.
     std::vector<attempts::suspect_entry> entries(base::time_point now) const;
-    std::vector<part_evidence> part_entries(base::time_point now) const
+    std::vector<parts::part_evidence> part_entries(base::time_point now) const
     {
         return parts_.entries(now);
     }
     /// Adds the suspects from the digest of another router.
     void merge(const std::vector<attempts::suspect_entry>& peer_entries, base::time_point now);
-    void merge(const std::vector<part_evidence>& peer_entries, base::time_point now)
+    void merge(const std::vector<parts::part_evidence>& peer_entries, base::time_point now)
     {
         parts_.merge(peer_entries, now);
     }
@@ -107,7 +107,7 @@
     /// Parts of the requests lost at one upstream, not yet known to have crashed.
     struct lost_parts
     {
-        part_fingerprints parts;
+        parts::part_fingerprints parts;
         base::time_point first_lost{};
         base::time_point last_lost{};
     };
@@ -118,7 +118,7 @@
     crash_tracker_options options_;
     attempts::crash_detector detector_;
     attempts::crash_suspects suspects_;
-    part_suspects parts_;
+    parts::part_suspects parts_;
     std::map<base::upstream_id, lost_parts> lost_parts_;
     /// When upstreams crashed. What is lost there later was sent to a process that is gone.
     std::map<base::upstream_id, base::time_point> crashed_;
--- a/src/libcaraway/routing/digest.cpp
+++ b/src/libcaraway/routing/digest.cpp
@@ -20,7 +20,7 @@
 /// Absent in digests of routers that don't suspect parts of prompts.
 constexpr std::size_t suspected_parts_position = 22;
 
-json loads_json(const upstream_loads& loads)
+json loads_json(const engines::upstream_loads& loads)
 {
     auto out = json::array();
     for (const auto& [id, load] : loads)
@@ -30,9 +30,9 @@
     return out;
 }
 
-upstream_loads parse_loads(const json& encoded)
+engines::upstream_loads parse_loads(const json& encoded)
 {
-    upstream_loads loads;
+    engines::upstream_loads loads;
     for (const auto& each : encoded)
     {
         loads[base::upstream_id(each.at(0).get<std::string>())] = {
@@ -113,7 +113,7 @@
     return suspects;
 }
 
-json marks_json(const std::vector<request_fingerprint>& marks)
+json marks_json(const std::vector<returns::request_fingerprint>& marks)
 {
     auto out = json::array();
     for (const auto each : marks)
@@ -123,17 +123,17 @@
     return out;
 }
 
-std::vector<request_fingerprint> parse_marks(const json& encoded)
+std::vector<returns::request_fingerprint> parse_marks(const json& encoded)
 {
-    std::vector<request_fingerprint> marks;
+    std::vector<returns::request_fingerprint> marks;
     for (const auto& each : encoded)
     {
-        marks.push_back(request_fingerprint{each.get<std::uint32_t>()});
+        marks.push_back(returns::request_fingerprint{each.get<std::uint32_t>()});
     }
     return marks;
 }
 
-json suspected_parts_json(const std::vector<part_evidence>& suspected)
+json suspected_parts_json(const std::vector<parts::part_evidence>& suspected)
 {
     auto out = json::array();
     for (const auto& each : suspected)
@@ -153,13 +153,14 @@
     return out;
 }
 
-std::vector<part_evidence> parse_suspected_parts(const json& encoded)
+std::vector<parts::part_evidence> parse_suspected_parts(const json& encoded)
 {
     constexpr std::size_t sound_age_position = 2;
-    std::vector<part_evidence> suspected;
+    std::vector<parts::part_evidence> suspected;
     for (const auto& each : encoded)
     {
-        part_evidence evidence{.part = part_fingerprint{each.at(0).get<std::uint64_t>()}};
+        parts::part_evidence evidence{.part =
+                                          parts::part_fingerprint{each.at(0).get<std::uint64_t>()}};
         for (const auto& crash : each.at(1))
         {
             evidence.crashes.push_back(
@@ -176,7 +177,7 @@
     return suspected;
 }
 
-json prefill_records_json(const prefill_records& prefill_samples)
+json prefill_records_json(const engines::prefill_records& prefill_samples)
 {
     auto out = json::array();
     for (const auto& [id, record] : prefill_samples)
@@ -186,9 +187,9 @@
     return out;
 }
 
-prefill_records parse_prefill_records(const json& encoded)
+engines::prefill_records parse_prefill_records(const json& encoded)
 {
-    prefill_records prefill_samples;
+    engines::prefill_records prefill_samples;
     for (const auto& each : encoded)
     {
         prefill_samples[base::upstream_id(each.at(0).get<std::string>())] = {
@@ -264,7 +265,7 @@
                              encoded.at(keeps_origins_position).get<bool>(),
             .suspected_parts = encoded.size() > suspected_parts_position
                                    ? parse_suspected_parts(encoded.at(suspected_parts_position))
-                                   : std::vector<part_evidence>{}};
+                                   : std::vector<parts::part_evidence>{}};
 }
 
 }  // namespace
--- a/src/libcaraway/routing/digest.hpp
+++ b/src/libcaraway/routing/digest.hpp
@@ -3,10 +3,10 @@
 #include "libcaraway/attempts/crash_suspects.hpp"
 #include "libcaraway/base/error.hpp"
 #include "libcaraway/base/units.hpp"
-#include "libcaraway/routing/load_tracker.hpp"
-#include "libcaraway/routing/part_suspects.hpp"
-#include "libcaraway/routing/prefill_pace.hpp"
-#include "libcaraway/routing/refused_requests.hpp"
+#include "libcaraway/routing/engines/load_tracker.hpp"
+#include "libcaraway/routing/engines/prefill_pace.hpp"
+#include "libcaraway/routing/parts/part_suspects.hpp"
+#include "libcaraway/routing/returns/refused_requests.hpp"
 #include "libcaraway/routing/table_relay.hpp"
 #include "libcaraway/routing/upstream_directory.hpp"
 #include "libcaraway/routing/workspace_shares.hpp"
@@ -42,15 +42,15 @@
     /// How long the sender's copy of the platform's tables has been fresh without interruption;
     /// 0 if the copy is stale.
     std::chrono::milliseconds tables_fresh_for{};
-    upstream_loads loads;
+    engines::upstream_loads loads;
     workspace_usages usages;
     /// Requests suspected of crashing upstreams.
     std::vector<attempts::suspect_entry> suspects;
     /// Requests that the sender rejected recently.
-    std::vector<request_fingerprint> refused;
+    std::vector<returns::request_fingerprint> refused;
     /// Prefill speeds of engines as measured by the sender; empty in most digests, as they change
     /// slowly.
-    prefill_records prefill_samples;
+    engines::prefill_records prefill_samples;
     /// Upstreams that the sender knows to accept no new requests. Part of each digest, as a busy
     /// router needs a second longer to request a full copy of the tables.
     std::vector<leaving_upstream> leaving;
@@ -61,7 +61,7 @@
     /// Whether the sender keeps origins of other routers' streams.
     bool keeps_origins = false;
     /// Parts of prompts suspected of crashing upstreams.
-    std::vector<part_evidence> suspected_parts;
+    std::vector<parts::part_evidence> suspected_parts;
 };
 
 /// Encodes the digest as CBOR (RFC 8949).
--- a/src/libcaraway/routing/load_tracker.cpp
+++ b/src/libcaraway/routing/engines/load_tracker.cpp
@@ -1,8 +1,8 @@
-#include "libcaraway/routing/load_tracker.hpp"
+#include "libcaraway/routing/engines/load_tracker.hpp"
 
 #include <algorithm>
 
-namespace caraway::routing
+namespace caraway::routing::engines
 {
 
 namespace
@@ -133,4 +133,4 @@
     return known == loads_.end() ? 0 : known->second.own.running;
 }
 
-}  // namespace caraway::routing
+}  // namespace caraway::routing::engines
--- a/src/libcaraway/routing/load_tracker.hpp
+++ b/src/libcaraway/routing/engines/load_tracker.hpp
@@ -7,7 +7,7 @@
 #include <map>
 #include <unordered_map>
 
-namespace caraway::routing
+namespace caraway::routing::engines
 {
 
 /// Load of one upstream.
@@ -82,4 +82,4 @@
     std::map<base::node_id, peer_loads> peers_;
 };
 
-}  // namespace caraway::routing
+}  // namespace caraway::routing::engines
--- a/src/libcaraway/routing/prefill_pace.cpp
+++ b/src/libcaraway/routing/engines/prefill_pace.cpp
@@ -1,9 +1,9 @@
-#include "libcaraway/routing/prefill_pace.hpp"
+#include "libcaraway/routing/engines/prefill_pace.hpp"
 
 #include <algorithm>
 #include <cmath>
 
-namespace caraway::routing
+namespace caraway::routing::engines
 {
 
 namespace
@@ -112,4 +112,4 @@
     record.updated = now;
 }
 
-}  // namespace caraway::routing
+}  // namespace caraway::routing::engines
--- a/src/libcaraway/routing/prefill_pace.hpp
+++ b/src/libcaraway/routing/engines/prefill_pace.hpp
@@ -7,7 +7,7 @@
 #include <map>
 #include <unordered_map>
 
-namespace caraway::routing
+namespace caraway::routing::engines
 {
 
 /// Observed prefill of one engine: time and prompt tokens, with recent samples weighing more.
@@ -91,4 +91,4 @@
     std::unordered_map<base::upstream_id, double> ms_per_token_;
 };
 
-}  // namespace caraway::routing
+}  // namespace caraway::routing::engines
--- a/src/libcaraway/routing/slow_start.cpp
+++ b/src/libcaraway/routing/engines/slow_start.cpp
@@ -1,10 +1,10 @@
-#include "libcaraway/routing/slow_start.hpp"
+#include "libcaraway/routing/engines/slow_start.hpp"
 
 #include "libcaraway/scheduling/stable_hash.hpp"
 
 #include <algorithm>
 
-namespace caraway::routing
+namespace caraway::routing::engines
 {
 
 namespace
@@ -125,4 +125,4 @@
     return static_cast<std::size_t>(higher_ranked) < options_.max_senders;
 }
 
-}  // namespace caraway::routing
+}  // namespace caraway::routing::engines
--- a/src/libcaraway/routing/slow_start.hpp
+++ b/src/libcaraway/routing/engines/slow_start.hpp
@@ -8,7 +8,7 @@
 #include <map>
 #include <vector>
 
-namespace caraway::routing
+namespace caraway::routing::engines
 {
 
 /// Load limit of a cold upstream.
@@ -98,4 +98,4 @@
     std::uint64_t skip_count_ = 0;
 };
 
-}  // namespace caraway::routing
+}  // namespace caraway::routing::engines
--- a/src/libcaraway/routing/overload_guard.cpp
+++ b/src/libcaraway/routing/entry/overload_guard.cpp
@@ -1,10 +1,10 @@
-#include "libcaraway/routing/overload_guard.hpp"
+#include "libcaraway/routing/entry/overload_guard.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <utility>
 
-namespace caraway::routing
+namespace caraway::routing::entry
 {
 
 namespace
@@ -106,4 +106,4 @@
     streams_.lower(active_streams, options_.decrease, options_.min_streams);
 }
 
-}  // namespace caraway::routing
+}  // namespace caraway::routing::entry
--- a/src/libcaraway/routing/overload_guard.hpp
+++ b/src/libcaraway/routing/entry/overload_guard.hpp
@@ -5,7 +5,7 @@
 #include <cstddef>
 #include <limits>
 
-namespace caraway::routing
+namespace caraway::routing::entry
 {
 
 struct overload_options
@@ -122,4 +122,4 @@
     double mean_yield_ = 0;
 };
 
-}  // namespace caraway::routing
+}  // namespace caraway::routing::entry
--- a/src/libcaraway/routing/part_suspects.cpp
+++ b/src/libcaraway/routing/parts/part_suspects.cpp
@@ -1,10 +1,10 @@
-#include "libcaraway/routing/part_suspects.hpp"
+#include "libcaraway/routing/parts/part_suspects.hpp"
 
 #include "libcaraway/scheduling/stable_hash.hpp"
 
 #include <algorithm>
 
-namespace caraway::routing
+namespace caraway::routing::parts
 {
 
 namespace
@@ -320,4 +320,4 @@
     }
 }
 
-}  // namespace caraway::routing
+}  // namespace caraway::routing::parts
--- a/src/libcaraway/routing/part_suspects.hpp
+++ b/src/libcaraway/routing/parts/part_suspects.hpp
@@ -8,7 +8,7 @@
 #include <optional>
 #include <vector>
 
-namespace caraway::routing
+namespace caraway::routing::parts
 {
 
 /// Hash of the id of a prompt's part. Equal on all routers.
@@ -151,4 +151,4 @@
     std::map<part_fingerprint, crash_times> unexplained_;
 };
 
-}  // namespace caraway::routing
+}  // namespace caraway::routing::parts
--- a/src/libcaraway/routing/peer_table.cpp
+++ b/src/libcaraway/routing/peer_table.cpp
@@ -267,9 +267,9 @@
                        });
 }
 
-fleet_view peer_table::fleet(base::time_point now) const
+engines::fleet_view peer_table::fleet(base::time_point now) const
 {
-    fleet_view view;
+    engines::fleet_view view;
     std::size_t reachable_count = 0;
     for (const auto& [id, each] : peers_)
     {
--- a/src/libcaraway/routing/peer_table.hpp
+++ b/src/libcaraway/routing/peer_table.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "libcaraway/routing/digest.hpp"
+#include "libcaraway/routing/engines/slow_start.hpp"
 #include "libcaraway/routing/origin_keepers.hpp"
-#include "libcaraway/routing/slow_start.hpp"
 
 #include <functional>
 #include <map>
@@ -117,7 +117,7 @@
                                        const std::function<double()>& random_unit) const;
     /// The other routers that are alive or may be: reachable ones, and recently discovered ones
     /// whose first digest is still awaited.
-    fleet_view fleet(base::time_point now) const;
+    engines::fleet_view fleet(base::time_point now) const;
     /// Time between two digests to the same peer at the fleet's current size.
     std::chrono::milliseconds digest_period() const;
 
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -112,8 +112,8 @@
 }
 
 /// Estimated time queued behind the prefill of other prompts; none for plain calls.
-std::chrono::milliseconds queue_wait(const placement_request& request, const upstream_load& total,
-                                     double ms_per_token)
+std::chrono::milliseconds queue_wait(const placement_request& request,
+                                     const engines::upstream_load& total, double ms_per_token)
 {
     if (!request.requested_service->engine)
     {
@@ -129,9 +129,9 @@
 
 std::optional<placement> placer::choose(const placement_request& request,
                                         const upstream_directory& directory,
-                                        const load_tracker& board,
+                                        const engines::load_tracker& board,
                                         const scheduling::upstream_health& health,
-                                        const prefill_pace& pace, base::time_point now)
+                                        const engines::prefill_pace& pace, base::time_point now)
 {
     const search_context context{
         .request = request,
@@ -307,7 +307,7 @@
 }
 
 bool placer::has_room(const upstream& target, const placement_request& request,
-                      const engine_limits& limits, const upstream_load& total) const
+                      const engine_limits& limits, const engines::upstream_load& total) const
 {
     if (!request.requested_service->engine)
     {
--- a/src/libcaraway/routing/placer.hpp
+++ b/src/libcaraway/routing/placer.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "libcaraway/routing/configuration.hpp"
-#include "libcaraway/routing/load_tracker.hpp"
-#include "libcaraway/routing/prefill_pace.hpp"
-#include "libcaraway/routing/slow_start.hpp"
+#include "libcaraway/routing/engines/load_tracker.hpp"
+#include "libcaraway/routing/engines/prefill_pace.hpp"
+#include "libcaraway/routing/engines/slow_start.hpp"
 #include "libcaraway/routing/upstream_directory.hpp"
 #include "libcaraway/scheduling/upstream_health.hpp"
 
@@ -68,7 +68,7 @@
     /// workspace's share, so that slots stay free for others.
     double slot_share = 1;
     /// Cold upstreams, which accept a limited rate; null: no upstream is cold.
-    slow_start* cold_upstreams = nullptr;
+    engines::slow_start* cold_upstreams = nullptr;
     /// Uniform in [0, 1): selects the upstreams compared in services larger than `max_full_scan`.
     double random_unit = 0;
     /// Maximum number of tokens of shared parts that may be prefilled again for the request, except
@@ -80,7 +80,7 @@
 {
     upstream target;
     /// Load that the request adds to the target.
-    upstream_load load;
+    engines::upstream_load load;
     /// Engine from which the target should fetch the shared parts of the prompt that it lacks.
     std::optional<upstream> cache_source;
     /// Estimated time queued behind the prefill of other prompts.
@@ -133,9 +133,10 @@
     /// Returns the best upstream and the load that the request adds to it, or nothing if no
     /// upstream has room for the request.
     std::optional<placement> choose(const placement_request& request,
-                                    const upstream_directory& directory, const load_tracker& board,
+                                    const upstream_directory& directory,
+                                    const engines::load_tracker& board,
                                     const scheduling::upstream_health& health,
-                                    const prefill_pace& pace, base::time_point now);
+                                    const engines::prefill_pace& pace, base::time_point now);
     /// Records that a request with these parts was sent to the upstream, which will have its shared
     /// parts cached.
     void record_sent(const base::upstream_id& id, const std::vector<prompt_part>& parts,
@@ -152,7 +153,7 @@
     {
         const upstream* target = nullptr;
         /// Load from all routers.
-        upstream_load total;
+        engines::upstream_load total;
         double ms_per_token = 0;
         /// Estimated time queued behind the prefill of other prompts.
         std::chrono::milliseconds wait{};
@@ -180,9 +181,9 @@
     {
         const placement_request& request;
         const std::vector<const upstream*>& candidates;
-        const load_tracker& board;
+        const engines::load_tracker& board;
         const scheduling::upstream_health& health;
-        const prefill_pace& pace;
+        const engines::prefill_pace& pace;
         base::time_point now;
         prompt_homes homes;
         /// Tokens of all shared parts.
@@ -201,7 +202,7 @@
     void consider(const search_context& context, std::size_t index, search_result& result) const;
     engine_limits limits_for(const placement_request& request) const;
     bool has_room(const upstream& target, const placement_request& request,
-                  const engine_limits& limits, const upstream_load& total) const;
+                  const engine_limits& limits, const engines::upstream_load& total) const;
     /// Returns the engine that should transfer the shared parts that the chosen one lacks, or null
     /// if prefilling them is about as fast or no engine can transfer them.
     const upstream* find_cache_source(const candidate& chosen, const upstream* home,
--- a/src/libcaraway/routing/refused_requests.cpp
+++ b/src/libcaraway/routing/returns/refused_requests.cpp
@@ -1,8 +1,8 @@
-#include "libcaraway/routing/refused_requests.hpp"
+#include "libcaraway/routing/returns/refused_requests.hpp"
 
 #include <algorithm>
 
-namespace caraway::routing
+namespace caraway::routing::returns
 {
 
 refused_requests::refused_requests(refused_options options) : options_(options) {}
@@ -67,4 +67,4 @@
     }
 }
 
-}  // namespace caraway::routing
+}  // namespace caraway::routing::returns
--- a/src/libcaraway/routing/refused_requests.hpp
+++ b/src/libcaraway/routing/returns/refused_requests.hpp
@@ -7,7 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace caraway::routing
+namespace caraway::routing::returns
 {
 
 /// Hash by which any router recognises a request that its caller sends again. With a few thousand
@@ -72,4 +72,4 @@
     std::deque<entry> by_expiry_;
 };
 
-}  // namespace caraway::routing
+}  // namespace caraway::routing::returns
--- a/src/libcaraway/routing/wait_queue.cpp
+++ b/src/libcaraway/routing/returns/wait_queue.cpp
@@ -1,9 +1,9 @@
-#include "libcaraway/routing/wait_queue.hpp"
+#include "libcaraway/routing/returns/wait_queue.hpp"
 
 #include <algorithm>
 #include <tuple>
 
-namespace caraway::routing
+namespace caraway::routing::returns
 {
 
 wait_id wait_queue::add(const waiting_request& request)
@@ -59,4 +59,4 @@
     return expired;
 }
 
-}  // namespace caraway::routing
+}  // namespace caraway::routing::returns
--- a/src/libcaraway/routing/wait_queue.hpp
+++ b/src/libcaraway/routing/returns/wait_queue.hpp
@@ -9,7 +9,7 @@
 #include <optional>
 #include <vector>
 
-namespace caraway::routing
+namespace caraway::routing::returns
 {
 
 /// A request that waits for a slot.
@@ -62,4 +62,4 @@
     std::uint64_t last_id_ = 0;
 };
 
-}  // namespace caraway::routing
+}  // namespace caraway::routing::returns
--- a/tests/routing/test_load_and_wait_queue.cpp
+++ b/tests/routing/test_load_and_wait_queue.cpp
@@ -1,12 +1,14 @@
 #include "libcaraway/routing/admission.hpp"
-#include "libcaraway/routing/load_tracker.hpp"
-#include "libcaraway/routing/wait_queue.hpp"
+#include "libcaraway/routing/engines/load_tracker.hpp"
+#include "libcaraway/routing/returns/wait_queue.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace caraway;
 using namespace std::chrono_literals;
 using namespace caraway::routing;
+using namespace caraway::routing::engines;
+using namespace caraway::routing::returns;
 
 namespace
 {
--- a/tests/routing/test_overload_guard.cpp
+++ b/tests/routing/test_overload_guard.cpp
@@ -1,10 +1,11 @@
-#include "libcaraway/routing/overload_guard.hpp"
+#include "libcaraway/routing/entry/overload_guard.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
 
 using namespace caraway::routing;
+using namespace caraway::routing::entry;
 using namespace std::chrono_literals;
 
 namespace
--- a/tests/routing/test_part_suspects.cpp
+++ b/tests/routing/test_part_suspects.cpp
@@ -1,5 +1,5 @@
 #include "libcaraway/routing/digest.hpp"
-#include "libcaraway/routing/part_suspects.hpp"
+#include "libcaraway/routing/parts/part_suspects.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -8,6 +8,7 @@
 
 using namespace caraway;
 using namespace caraway::routing;
+using namespace caraway::routing::parts;
 using namespace std::chrono_literals;
 
 namespace
--- a/tests/routing/test_placer.cpp
+++ b/tests/routing/test_placer.cpp
@@ -7,6 +7,7 @@
 using namespace caraway;
 using namespace std::chrono_literals;
 using namespace caraway::routing;
+using namespace caraway::routing::engines;
 
 namespace
 {
--- a/tests/routing/test_prefill_pace.cpp
+++ b/tests/routing/test_prefill_pace.cpp
@@ -1,10 +1,10 @@
-#include "libcaraway/routing/prefill_pace.hpp"
+#include "libcaraway/routing/engines/prefill_pace.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace caraway;
 using namespace std::chrono_literals;
-using routing::prefill_pace;
+using routing::engines::prefill_pace;
 
 namespace
 {
--- a/tests/routing/test_refused_requests.cpp
+++ b/tests/routing/test_refused_requests.cpp
@@ -1,12 +1,12 @@
-#include "libcaraway/routing/refused_requests.hpp"
+#include "libcaraway/routing/returns/refused_requests.hpp"
 #include "libcaraway/routing/workspace_shares.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace caraway;
 using namespace std::chrono_literals;
-using routing::refused_requests;
-using routing::request_fingerprint;
+using routing::returns::refused_requests;
+using routing::returns::request_fingerprint;
 
 namespace
 {
--- a/tests/routing/test_slow_start.cpp
+++ b/tests/routing/test_slow_start.cpp
@@ -1,4 +1,4 @@
-#include "libcaraway/routing/slow_start.hpp"
+#include "libcaraway/routing/engines/slow_start.hpp"
 
 #include "libcaraway/scheduling/stable_hash.hpp"
 
@@ -10,9 +10,9 @@
 
 using namespace caraway;
 using namespace std::chrono_literals;
-using routing::fleet_view;
-using routing::slow_start;
 using routing::upstream;
+using routing::engines::fleet_view;
+using routing::engines::slow_start;
 
 namespace
 {
--- a/tests/shares/shares_model.hpp
+++ b/tests/shares/shares_model.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "libcaraway/routing/admission.hpp"
-#include "libcaraway/routing/load_tracker.hpp"
-#include "libcaraway/routing/wait_queue.hpp"
+#include "libcaraway/routing/engines/load_tracker.hpp"
+#include "libcaraway/routing/returns/wait_queue.hpp"
 #include "libcaraway/routing/workspace_shares.hpp"
 
 #include <deque>
@@ -83,9 +83,9 @@
     struct router_state
     {
         routing::workspace_shares shares;
-        routing::load_tracker loads;
-        routing::wait_queue queue;
-        std::map<routing::wait_id, request> waiting;
+        routing::engines::load_tracker loads;
+        routing::returns::wait_queue queue;
+        std::map<routing::returns::wait_id, request> waiting;
     };
 
     struct engine_state
