Routing: what the parts of hard load ask of each other

One header each: what a digest newly holds (paces of upstreams, use of shared parts, a processor at its limit; optional fields at its end, which routers of the landing before ignore), what the placer asks of engines and of homes of shared parts, what an ended attempt tells. Behind them stands what was there; the constants of an engine's cost moved from the placer to the view of engines.

--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -247,6 +247,7 @@
     log.line("upstream_restarted", {{"upstream", id.str()}, {"born", process_start.count()}});
     pool.close_all(id);
     placer.forget(id);
+    engines.forget(id);
     health.discard(id);
     process_crash(crashes.record_restarted(id, now()));
     std::vector<std::shared_ptr<request_session>> affected;
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -168,7 +168,7 @@
     /// Requests to engines in flight: they take most of a router's CPU time.
     std::size_t active_streams = 0;
     routing::placer placer;
-    routing::engines::prefill_pace prefill_pace;
+    routing::engines::engine_view engines;
     scheduling::scheduler_options health_options;
     scheduling::upstream_health health;
     /// Total since the process started, as are the next two counts.
--- a/src/libcaraway/router/daemon_peers.cpp
+++ b/src/libcaraway/router/daemon_peers.cpp
@@ -332,13 +332,15 @@
     if (now >= next_prefill_records_)
     {
         next_prefill_records_ = now + prefill_records_period;
-        core_.prefill_pace.refresh(now);
-        digest.prefill_samples = core_.prefill_pace.own_records(now);
+        core_.engines.refresh(now);
+        digest.prefill_samples = core_.engines.prefill.own_records(now);
+        digest.paces = core_.engines.own_records(now);
     }
     digest.leaving = core_.directory.leaving(now);
     digest.zones = core_.directory.zones().updates();
     digest.tables = tables();
     digest.keeps_origins = true;
+    digest.processor_limited = core_.overload.overloaded();
     digest.suspected_parts = core_.crashes.part_entries(now);
     return digest;
 }
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -253,7 +253,11 @@
     core_.refused_requests.merge(received.refused, now);
     if (!received.prefill_samples.empty())
     {
-        core_.prefill_pace.set_peer(received.sender, std::move(received.prefill_samples), now);
+        core_.engines.prefill.set_peer(received.sender, std::move(received.prefill_samples), now);
+    }
+    if (!received.paces.empty())
+    {
+        core_.engines.set_peer(received.sender, received.paces, now);
     }
     if (!received.suspects.empty())
     {
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -188,6 +188,7 @@
     while (const auto event = current.events.next())
     {
         current.answer_begun = current.answer_begun.value_or(current.last_activity);
+        record_arrival(current);
         // After a resume, events that the caller already has are skipped.
         const bool repeated = event->id && last_event_id_ && *event->id <= *last_event_id_;
         if (repeated)
@@ -210,7 +211,7 @@
         current.prefilled = true;
         core_.load_tracker.record_prefill_done(current.placement.target.id,
                                                current.placement.load.pending_prefill_tokens);
-        core_.prefill_pace.record_prefill(
+        core_.engines.prefill.record_prefill(
             current.placement.target.id, current.placement.queued_tokens,
             static_cast<std::uint32_t>(current.placement.load.pending_prefill_tokens),
             core_.now() - current.sent_at, core_.now());
@@ -222,6 +223,17 @@
     request_->write(new_events);
 }
 
+void request_session::record_arrival(attempt& current)
+{
+    if (current.events_arrived > 0)
+    {
+        current.longest_pause =
+            std::max(current.longest_pause, current.last_activity - current.last_event);
+    }
+    ++current.events_arrived;
+    current.last_event = current.last_activity;
+}
+
 void request_session::record_event_gap()
 {
     const auto now = core_.now();
@@ -302,6 +314,7 @@
     if (last)
     {
         const auto& id = last->placement.target.id;
+        core_.engines.record_attempt(summary_of(*last, outcome), core_.now());
         core_.record_attempt_result(id, service_->id, health_result_of(outcome));
         release_attempt();
         refund_share(outcome);
@@ -363,6 +376,30 @@
     core_.dispatch_waiting();
 }
 
+routing::attempt_summary request_session::summary_of(const attempt& ended,
+                                                     attempt_outcome outcome) const
+{
+    routing::attempt_summary summary{.upstream = ended.placement.target.id,
+                                     .service = service_->id,
+                                     .is_engine = service_->engine.has_value(),
+                                     .complete = outcome == attempt_outcome::answered,
+                                     .running = ended.placement.running,
+                                     .queued_tokens = ended.placement.queued_tokens,
+                                     .uncached_tokens =
+                                         last_placement_->load.pending_prefill_tokens,
+                                     .longest_pause = ended.longest_pause,
+                                     .events = ended.events_arrived};
+    if (ended.answer_begun)
+    {
+        summary.until_answer = *ended.answer_begun - ended.sent_at;
+    }
+    if (ended.events_arrived > 0)
+    {
+        summary.streaming = ended.last_event - *ended.answer_begun;
+    }
+    return summary;
+}
+
 /// Shares count what callers receive. Upstreams that crash lose a flooding workspace's requests,
 /// some ten thousand tokens each. Counted as served, these kept the workspace from being placed for
 /// the whole share window, while others got three times as much.
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -262,7 +262,7 @@
         .random_unit = core_.random_unit(),
         .max_repeated_tokens = terms.max_repeated_tokens};
     auto placement = core_.placer.choose(request, core_.directory, core_.load_tracker, core_.health,
-                                         core_.prefill_pace, now);
+                                         core_.engines, now);
     skipped_cold_upstream_ = !placement && core_.slow_start.skip_count() != skipped_before;
     return placement;
 }
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -47,6 +47,10 @@
         bool connection_lost = false;
         /// When the answer began: with a stream's first whole event, else with its head.
         std::optional<base::time_point> answer_begun;
+        /// Events that arrived, when the last one did, and the longest time between two of them.
+        std::uint32_t events_arrived = 0;
+        base::time_point last_event{};
+        base::duration longest_pause{};
         /// Start of the silence: when events last arrived, or else when the request was sent.
         base::time_point last_activity{};
         http::timer_queue::handle silence_timer;
@@ -90,6 +94,7 @@
     /// An upstream that sends nothing for this time is taken for dead.
     std::chrono::milliseconds silence_timeout() const;
     void begin_answer(const attempt& current);
+    static void record_arrival(attempt& current);
     void record_event_gap();
 
     /// Whether nothing is missing of the answer, as far as its end shows.
@@ -98,6 +103,8 @@
     /// The answer goes on, or is complete: the upstream didn't crash as it began.
     void record_sound_answer(const attempt& current, bool complete);
     void on_attempt_ended(routing::attempt_outcome outcome);
+    routing::attempt_summary summary_of(const attempt& ended,
+                                        routing::attempt_outcome outcome) const;
     void log_attempt(const attempt& last, routing::attempt_outcome outcome,
                      routing::next_step step);
     /// Ids of the prompt's parts that other requests may have as well.
--- a/src/libcaraway/routing/digest.cpp
+++ b/src/libcaraway/routing/digest.cpp
@@ -19,6 +19,10 @@
 constexpr std::size_t keeps_origins_position = 21;
 /// Absent in digests of routers that don't suspect parts of prompts.
 constexpr std::size_t suspected_parts_position = 22;
+/// Absent in digests of routers that don't tell of their processor, of paces and of parts.
+constexpr std::size_t processor_limited_position = 23;
+constexpr std::size_t paces_position = 24;
+constexpr std::size_t part_rates_position = 25;
 
 json loads_json(const engines::upstream_loads& loads)
 {
@@ -198,6 +202,48 @@
     return prefill_samples;
 }
 
+json paces_json(const engines::pace_records& paces)
+{
+    auto out = json::array();
+    for (const auto& [id, record] : paces)
+    {
+        out.push_back({id.str(), record.milliseconds, record.units});
+    }
+    return out;
+}
+
+engines::pace_records parse_paces(const json& encoded)
+{
+    engines::pace_records paces;
+    for (const auto& each : encoded)
+    {
+        paces[base::upstream_id(each.at(0).get<std::string>())] = {
+            .milliseconds = each.at(1).get<double>(), .units = each.at(2).get<double>()};
+    }
+    return paces;
+}
+
+json part_rates_json(const std::vector<parts::part_rate>& rates)
+{
+    auto out = json::array();
+    for (const auto& each : rates)
+    {
+        out.push_back({each.prefix, each.requests_per_second});
+    }
+    return out;
+}
+
+std::vector<parts::part_rate> parse_part_rates(const json& encoded)
+{
+    std::vector<parts::part_rate> rates;
+    for (const auto& each : encoded)
+    {
+        rates.push_back({.prefix = each.at(0).get<std::uint64_t>(),
+                         .requests_per_second = each.at(1).get<double>()});
+    }
+    return rates;
+}
+
 json tables_json(const table_state& state)
 {
     return json::array({state.polls_store, state.store_unreachable, state.answer_count,
@@ -265,7 +311,14 @@
                              encoded.at(keeps_origins_position).get<bool>(),
             .suspected_parts = encoded.size() > suspected_parts_position
                                    ? parse_suspected_parts(encoded.at(suspected_parts_position))
-                                   : std::vector<parts::part_evidence>{}};
+                                   : std::vector<parts::part_evidence>{},
+            .processor_limited = encoded.size() > processor_limited_position &&
+                                 encoded.at(processor_limited_position).get<bool>(),
+            .paces = encoded.size() > paces_position ? parse_paces(encoded.at(paces_position))
+                                                     : engines::pace_records{},
+            .part_rates = encoded.size() > part_rates_position
+                              ? parse_part_rates(encoded.at(part_rates_position))
+                              : std::vector<parts::part_rate>{}};
 }
 
 }  // namespace
@@ -294,7 +347,10 @@
                                      leaving_json(message.leaving),
                                      zone_updates_json(message.zones),
                                      message.keeps_origins,
-                                     suspected_parts_json(message.suspected_parts)});
+                                     suspected_parts_json(message.suspected_parts),
+                                     message.processor_limited,
+                                     paces_json(message.paces),
+                                     part_rates_json(message.part_rates)});
     std::string out;
     json::to_cbor(fields, out);
     return out;
--- a/src/libcaraway/routing/digest.hpp
+++ b/src/libcaraway/routing/digest.hpp
@@ -4,7 +4,9 @@
 #include "libcaraway/base/error.hpp"
 #include "libcaraway/base/units.hpp"
 #include "libcaraway/routing/engines/load_tracker.hpp"
+#include "libcaraway/routing/engines/pace_record.hpp"
 #include "libcaraway/routing/engines/prefill_pace.hpp"
+#include "libcaraway/routing/parts/part_rate.hpp"
 #include "libcaraway/routing/parts/part_suspects.hpp"
 #include "libcaraway/routing/returns/refused_requests.hpp"
 #include "libcaraway/routing/table_relay.hpp"
@@ -62,6 +64,12 @@
     bool keeps_origins = false;
     /// Parts of prompts suspected of crashing upstreams.
     std::vector<parts::part_evidence> suspected_parts;
+    /// The sender's processor is at its limit.
+    bool processor_limited = false;
+    /// Speed of upstreams as seen by the sender; empty in most digests, as it changes slowly.
+    engines::pace_records paces;
+    /// The shared parts of prompts that the sender's requests use most; empty in most digests.
+    std::vector<parts::part_rate> part_rates;
 };
 
 /// Encodes the digest as CBOR (RFC 8949).
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -1,7 +1,5 @@
 #include "libcaraway/routing/placer.hpp"
 
-#include "libcaraway/scheduling/stable_hash.hpp"
-
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -12,72 +10,9 @@
 namespace
 {
 
-using scheduling::combine;
-using scheduling::stable_hash;
-
 /// Parts recorded per upstream before expired ones are removed; the cache of an engine holds fewer.
 constexpr std::size_t max_recorded_parts = 2048;
 
-/// Returns the hash of each part with all parts before it. A cached part can only be used for a
-/// prompt with the same parts before it.
-std::vector<std::uint64_t> prefix_hashes(const std::vector<prompt_part>& parts)
-{
-    std::vector<std::uint64_t> prefixes;
-    std::uint64_t prefix = 0;
-    for (const auto& part : parts)
-    {
-        prefix = combine(prefix, stable_hash(part.id));
-        prefixes.push_back(prefix);
-    }
-    return prefixes;
-}
-
-/// Returns the candidates with the highest and second highest rendezvous weight for a part.
-std::pair<std::size_t, std::size_t> two_highest(std::uint64_t part,
-                                                const std::vector<const upstream*>& candidates)
-{
-    std::size_t first = prompt_homes::none;
-    std::size_t second = prompt_homes::none;
-    std::uint64_t highest = 0;
-    std::uint64_t next = 0;
-    for (std::size_t index = 0; index < candidates.size(); ++index)
-    {
-        const auto weight = combine(part, candidates[index]->hash);
-        if (first == prompt_homes::none || weight > highest)
-        {
-            second = first;
-            next = highest;
-            first = index;
-            highest = weight;
-        }
-        else if (second == prompt_homes::none || weight > next)
-        {
-            second = index;
-            next = weight;
-        }
-    }
-    return {first, second};
-}
-
-prompt_homes homes_for(const std::vector<const upstream*>& candidates,
-                       const std::vector<prompt_part>* parts)
-{
-    prompt_homes out;
-    if (parts == nullptr || parts->size() < 2)
-    {
-        return out;
-    }
-    out.prefixes = prefix_hashes(*parts);
-    out.prefixes.pop_back();
-    for (const auto part : out.prefixes)
-    {
-        const auto [first, second] = two_highest(part, candidates);
-        out.homes.push_back(first);
-        out.second_home = second;
-    }
-    return out;
-}
-
 std::uint32_t shared_tokens(const placement_request& request)
 {
     std::uint32_t tokens = 0;
@@ -131,19 +66,20 @@
                                         const upstream_directory& directory,
                                         const engines::load_tracker& board,
                                         const scheduling::upstream_health& health,
-                                        const engines::prefill_pace& pace, base::time_point now)
+                                        const engines::engine_view& engines, base::time_point now)
 {
+    const auto& candidates = directory.usable(request.requested_service->id);
     const search_context context{
         .request = request,
-        .candidates = directory.usable(request.requested_service->id),
+        .candidates = candidates,
         .board = board,
         .health = health,
-        .pace = pace,
+        .engines = engines,
         .now = now,
-        .homes = homes_for(directory.usable(request.requested_service->id),
-                           request.requested_service->engine ? request.parts : nullptr),
-        .shared = shared_tokens(request),
-        .limits = limits_for(request)};
+        .homes = homes_.find(
+            request.requested_service->engine ? request.parts : nullptr, candidates,
+            [&](const auto& id) { return engines.relative_throughput(id); }, now),
+        .shared = shared_tokens(request)};
     const auto best = cheapest(context);
     if (!best)
     {
@@ -174,9 +110,9 @@
         {
             consider(context, home, result);
         }
-        if (context.homes.second_home != prompt_homes::none)
+        for (const auto home : context.homes.further_homes)
         {
-            consider(context, context.homes.second_home, result);
+            consider(context, home, result);
         }
         const auto first =
             static_cast<std::size_t>(context.request.random_unit * static_cast<double>(count));
@@ -200,8 +136,8 @@
     candidate considered{.target = &target, .total = context.board.total(target.id)};
     // The most frequent reason for exclusion is checked first: with hundreds of engines, most of
     // them full, placing nothing takes a small VM more CPU time than serving a request.
-    if (!has_room(target, request, context.limits, considered.total) ||
-        was_tried(request, target.id) || is_other_version(request, target) ||
+    if (!has_room(context, target, considered.total) || was_tried(request, target.id) ||
+        is_other_version(request, target) ||
         !context.health.usable(target.id, context.board.own_running(target.id), context.now))
     {
         return;
@@ -210,8 +146,9 @@
     {
         return;
     }
-    considered.ms_per_token = context.pace.ms_per_token(target.id);
-    considered.wait = queue_wait(request, considered.total, considered.ms_per_token);
+    considered.estimate = context.engines.estimate(target.id, context.now);
+    considered.wait =
+        queue_wait(request, considered.total, considered.estimate.prefill_ms_per_token);
     if (considered.total.running > 0 && considered.wait > request.max_wait)
     {
         return;
@@ -219,13 +156,13 @@
     const auto& homes = context.homes;
     considered.cached =
         cached_tokens(target.id, request, homes.prefixes, homes.depth(index), context.now);
-    const bool at_second_home = homes.second_home == index;
-    if (context.shared - considered.cached > request.max_repeated_tokens && !at_second_home)
+    const bool at_further_home = homes.is_further_home(index);
+    if (context.shared - considered.cached > request.max_repeated_tokens && !at_further_home)
     {
         return;
     }
-    considered.repeated =
-        (context.shared - considered.cached) * (at_second_home ? options_.second_home_factor : 1.0);
+    considered.repeated = (context.shared - considered.cached) *
+                          (at_further_home ? options_.second_home_factor : 1.0);
     const double total_cost = cost(considered, request);
     if (total_cost < result.lowest_cost)
     {
@@ -251,20 +188,21 @@
     {
         return nullptr;
     }
-    const double gain = missing * (chosen.ms_per_token - transfer_ms_per_token);
+    const double gain = missing * (chosen.estimate.prefill_ms_per_token - transfer_ms_per_token);
     return gain > static_cast<double>(options_.min_transfer_gain.count()) ? home : nullptr;
 }
 
-void placer::record_sent(const base::upstream_id& id, const std::vector<prompt_part>& parts,
+void placer::record_sent(const base::upstream_id& id, const std::vector<prompt_part>& prompt,
                          base::time_point now)
 {
+    homes_.record_use(prompt, now);
     auto& recorded = cached_parts_[id];
     if (recorded.size() > max_recorded_parts)
     {
         std::erase_if(recorded, [&](const auto& entry)
                       { return entry.second + options_.part_lifetime <= now; });
     }
-    const auto prefixes = prefix_hashes(parts);
+    const auto prefixes = parts::prefix_hashes(prompt);
     for (std::size_t depth = 0; depth + 1 < prefixes.size(); ++depth)
     {
         recorded[prefixes[depth]] = now;
@@ -294,29 +232,21 @@
     return tokens;
 }
 
-placer::engine_limits placer::limits_for(const placement_request& request) const
+bool placer::has_room(const search_context& context, const upstream& target,
+                      const engines::upstream_load& total) const
 {
-    if (!request.requested_service->engine)
-    {
-        return {};
-    }
-    const auto& engine = *request.requested_service->engine;
-    return {.max_running = std::max(1.0, std::floor(request.slot_share * engine.slots)),
-            .max_tokens = static_cast<std::uint64_t>(options_.usable_kv_fraction *
-                                                     static_cast<double>(engine.kv_tokens))};
-}
-
-bool placer::has_room(const upstream& target, const placement_request& request,
-                      const engine_limits& limits, const engines::upstream_load& total) const
-{
-    if (!request.requested_service->engine)
+    const auto& request = context.request;
+    const auto& engine = request.requested_service->engine;
+    if (!engine)
     {
         return total.running <
                static_cast<std::uint32_t>(options_.plain_calls_per_slot * target.slots);
     }
     const bool fits =
-        total.running == 0 || total.held_tokens + needed_tokens(request) <= limits.max_tokens;
-    return total.running < limits.max_running && fits;
+        total.running == 0 || total.held_tokens + needed_tokens(request) <=
+                                  context.engines.max_tokens(*engine, target.id, context.now);
+    return fits &&
+           total.running < context.engines.max_running(*engine, target.id, request.slot_share);
 }
 
 double placer::cost(const candidate& rated, const placement_request& request) const
@@ -328,13 +258,13 @@
     {
         const double calls_per_slot =
             static_cast<double>(rated.total.running) / std::max(1U, target.slots);
-        return distance + calls_per_slot * static_cast<double>(options_.plain_call_cost.count());
+        return distance + calls_per_slot * rated.estimate.call_time.count();
     }
-    const double prefill = uncached_tokens(request, rated.cached) * rated.ms_per_token;
-    const double slowdown =
-        std::chrono::duration<double, std::milli>(options_.running_request_cost).count() *
-        rated.total.running;
-    const double repeat_cost = options_.repeat_cost_factor * rated.repeated * rated.ms_per_token;
+    const double prefill =
+        uncached_tokens(request, rated.cached) * rated.estimate.prefill_ms_per_token;
+    const double slowdown = rated.estimate.running_request_cost.count() * rated.total.running;
+    const double repeat_cost =
+        options_.repeat_cost_factor * rated.repeated * rated.estimate.prefill_ms_per_token;
     return distance + static_cast<double>(rated.wait.count()) + prefill + repeat_cost + slowdown;
 }
 
--- a/src/libcaraway/routing/placer.hpp
+++ b/src/libcaraway/routing/placer.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "libcaraway/routing/configuration.hpp"
+#include "libcaraway/routing/engines/engine_view.hpp"
 #include "libcaraway/routing/engines/load_tracker.hpp"
-#include "libcaraway/routing/engines/prefill_pace.hpp"
 #include "libcaraway/routing/engines/slow_start.hpp"
+#include "libcaraway/routing/parts/part_homes.hpp"
 #include "libcaraway/routing/upstream_directory.hpp"
 #include "libcaraway/scheduling/upstream_health.hpp"
 
@@ -21,17 +22,9 @@
     /// Cost of an upstream in another zone. The round trip takes 1 to 3 ms according to the
     /// deployments' specifications; doubled, because traffic between zones is also charged.
     std::chrono::milliseconds cross_zone_cost{6};
-    /// Delay that one more running request adds to the decoding steps of an engine, summed over a
-    /// short answer.
-    std::chrono::microseconds running_request_cost{1500};
-    /// Work of one plain call: 15 to 30 ms according to the deployments' specifications.
-    std::chrono::milliseconds plain_call_cost{20};
     /// Calls in flight per slot of a plain upstream. The work of a call takes a fifth of its
     /// latency target, so one call may wait behind each running one.
     double plain_calls_per_slot = 2;
-    /// Fraction of an engine's KV cache that requests may reserve. The rest is for outputs longer
-    /// than expected, since an engine that runs out of memory prefills its newest request again.
-    double usable_kv_fraction = 0.92;
     /// Cost factor for prefilling a shared part again, relative to the prefill time itself: the
     /// prefill delays all requests queued at the engine, and evicts another part from its cache.
     double repeat_cost_factor = 3;
@@ -91,31 +84,6 @@
     std::uint32_t running = 0;
 };
 
-/// The homes of a prompt's shared parts, as indices into the candidates.
-struct prompt_homes
-{
-    static constexpr std::size_t none = std::numeric_limits<std::size_t>::max();
-
-    /// Hash of each shared part with all parts before it, and the home of each.
-    std::vector<std::uint64_t> prefixes;
-    std::vector<std::size_t> homes;
-    /// Second home of the last shared part: the candidate with the next lower weight.
-    std::size_t second_home = none;
-
-    /// Number of shared parts, from the first, that the candidate should have cached as their home.
-    std::size_t depth(std::size_t candidate) const
-    {
-        for (std::size_t part = homes.size(); part > 0; --part)
-        {
-            if (homes[part - 1] == candidate)
-            {
-                return part;
-            }
-        }
-        return 0;
-    }
-};
-
 /// Chooses the upstream with the lowest estimated latency for a request. The estimate is made of
 /// the prefill queued at the upstream, the uncached part of the request's own prompt, the requests
 /// running there, and the network distance.
@@ -136,10 +104,10 @@
                                     const upstream_directory& directory,
                                     const engines::load_tracker& board,
                                     const scheduling::upstream_health& health,
-                                    const engines::prefill_pace& pace, base::time_point now);
+                                    const engines::engine_view& engines, base::time_point now);
     /// Records that a request with these parts was sent to the upstream, which will have its shared
     /// parts cached.
-    void record_sent(const base::upstream_id& id, const std::vector<prompt_part>& parts,
+    void record_sent(const base::upstream_id& id, const std::vector<prompt_part>& prompt,
                      base::time_point now);
     /// Drops what is recorded of the cache of an upstream, after its process was replaced.
     void forget(const base::upstream_id& id)
@@ -154,7 +122,7 @@
         const upstream* target = nullptr;
         /// Load from all routers.
         engines::upstream_load total;
-        double ms_per_token = 0;
+        engines::upstream_estimate estimate;
         /// Estimated time queued behind the prefill of other prompts.
         std::chrono::milliseconds wait{};
         /// Prompt tokens assumed to be cached.
@@ -169,13 +137,6 @@
     std::uint32_t cached_tokens(const base::upstream_id& id, const placement_request& request,
                                 const std::vector<std::uint64_t>& prefixes, std::size_t home_depth,
                                 base::time_point now) const;
-    /// Limits of an engine's load, with the request included.
-    struct engine_limits
-    {
-        double max_running = 0;
-        std::uint64_t max_tokens = 0;
-    };
-
     /// Inputs of one choice, which are the same for all candidates.
     struct search_context
     {
@@ -183,12 +144,11 @@
         const std::vector<const upstream*>& candidates;
         const engines::load_tracker& board;
         const scheduling::upstream_health& health;
-        const engines::prefill_pace& pace;
+        const engines::engine_view& engines;
         base::time_point now;
-        prompt_homes homes;
+        parts::prompt_homes homes;
         /// Tokens of all shared parts.
         std::uint32_t shared = 0;
-        engine_limits limits;
     };
 
     struct search_result
@@ -200,9 +160,8 @@
     std::optional<candidate> cheapest(const search_context& context) const;
     /// Makes the candidate the best one if it has room and costs less than the best so far.
     void consider(const search_context& context, std::size_t index, search_result& result) const;
-    engine_limits limits_for(const placement_request& request) const;
-    bool has_room(const upstream& target, const placement_request& request,
-                  const engine_limits& limits, const engines::upstream_load& total) const;
+    bool has_room(const search_context& context, const upstream& target,
+                  const engines::upstream_load& total) const;
     /// Returns the engine that should transfer the shared parts that the chosen one lacks, or null
     /// if prefilling them is about as fast or no engine can transfer them.
     const upstream* find_cache_source(const candidate& chosen, const upstream* home,
@@ -213,6 +172,7 @@
     placement make_placement(const candidate& chosen, const placement_request& request) const;
 
     placement_options options_;
+    parts::part_homes homes_;
     std::unordered_map<base::upstream_id, part_times> cached_parts_;
 };
 
--- a/tests/routing/test_placer.cpp
+++ b/tests/routing/test_placer.cpp
@@ -23,7 +23,7 @@
     load_tracker board;
     scheduling::scheduler_options health_options;
     scheduling::upstream_health health{health_options};
-    prefill_pace pace;
+    engine_view known;
     placer selector{{.zone = base::zone_id("z1")}};
 
     void add(const service& owner, const std::string& id, const std::string& zone = "z1")
@@ -50,7 +50,7 @@
 
     std::optional<placement> place(const placement_request& request)
     {
-        return selector.choose(request, directory, board, health, pace, now);
+        return selector.choose(request, directory, board, health, known, now);
     }
 };
 
@@ -77,7 +77,7 @@
 
     const auto first = place(request);
     placer other({.zone = base::zone_id("z1")});
-    const auto second = other.choose(request, directory, board, health, pace, now);
+    const auto second = other.choose(request, directory, board, health, known, now);
 
     BOOST_TEST(first->target.id == second->target.id);
     BOOST_TEST(first->load.pending_prefill_tokens == 6600);
@@ -128,9 +128,9 @@
     add(engines, "e2");
     for (int sample = 0; sample < 20; ++sample)
     {
-        pace.record_prefill(base::upstream_id("e1"), 0, 5000, 25ms + 165ms, now);
-        pace.record_prefill(base::upstream_id("e2"), 0, 5000, 25ms + 110ms, now);
-        pace.refresh(now);
+        known.prefill.record_prefill(base::upstream_id("e1"), 0, 5000, 25ms + 165ms, now);
+        known.prefill.record_prefill(base::upstream_id("e2"), 0, 5000, 25ms + 110ms, now);
+        known.refresh(now);
     }
     std::map<base::upstream_id, std::uint64_t> tokens;
     for (int number = 0; number < 50; ++number)
