--- a/src/libcaraway/routing/digest.hpp
+++ b/src/libcaraway/routing/digest.hpp
@@ -72,9 +72,20 @@
     std::vector<parts::part_rate> part_rates;
 };
 
+/// What tells whether a digest is newer than another one.
+struct digest_identity
+{
+    base::node_id sender;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+};
+
 /// Encodes the digest as CBOR (RFC 8949).
 std::string encode(const digest& message);
 /// Errors: `corrupt` if the bytes are anything but one complete digest of the current format.
 base::result<digest> decode(std::string_view bytes);
+/// Decodes only the first fields. Errors: `corrupt` if the bytes don't begin like a digest of the
+/// current format.
+base::result<digest_identity> decode_identity(std::string_view bytes);
 
 }  // namespace caraway::routing
--- /dev/null
+++ b/src/libcaraway/routing/digest_decode.cpp
@@ -0,0 +1,343 @@
+// Decoding of digests, which come at a hundred or two a second and VM.
+#include "libcaraway/routing/cbor_reader.hpp"
+#include "libcaraway/routing/digest.hpp"
+#include "libcaraway/routing/digest_format.hpp"
+
+namespace caraway::routing
+{
+
+namespace
+{
+
+template <class Id>
+Id read_id(cbor_reader& in)
+{
+    return Id(std::string(in.text()));
+}
+
+template <class Enum, class Integer = std::underlying_type_t<Enum>>
+Enum read_enum(cbor_reader& in)
+{
+    return Enum{in.integer<Integer>()};
+}
+
+/// Narrower than the duration where no sender has more.
+template <class Integer>
+std::chrono::milliseconds read_milliseconds(cbor_reader& in)
+{
+    return std::chrono::milliseconds(in.integer<Integer>());
+}
+
+/// Calls `read_item` for each item of an array.
+template <class ReadItem>
+void read_items(cbor_reader& in, const ReadItem& read_item)
+{
+    for (auto left = in.array(); left > 0 && !in.failed(); --left)
+    {
+        read_item();
+    }
+}
+
+/// Calls `read_entry` for each item of an array, all of which are arrays of at least
+/// `field_count` fields; further fields are ignored.
+template <class ReadEntry>
+void read_entries(cbor_reader& in, std::uint64_t field_count, const ReadEntry& read_entry)
+{
+    read_items(in,
+               [&]
+               {
+                   const auto size = in.array(field_count);
+                   read_entry();
+                   in.skip(size - field_count);
+               });
+}
+
+/// Reads a map's entries, which senders have sorted by their ids; of equal ids the last counts.
+template <class Map, class ReadValue>
+Map read_map(cbor_reader& in, std::uint64_t field_count, const ReadValue& read_value)
+{
+    Map map;
+    read_entries(in, field_count,
+                 [&]
+                 {
+                     auto id = read_id<typename Map::key_type>(in);
+                     map.insert_or_assign(map.end(), std::move(id), read_value());
+                 });
+    return map;
+}
+
+endpoint read_endpoint(cbor_reader& in)
+{
+    constexpr std::uint64_t field_count = 2;
+    const auto size = in.array(field_count);
+    endpoint address{.ip = std::string(in.text()), .port = in.integer<std::uint16_t>()};
+    in.skip(size - field_count);
+    return address;
+}
+
+engines::upstream_loads read_loads(cbor_reader& in)
+{
+    return read_map<engines::upstream_loads>(
+        in, 4,
+        [&]
+        {
+            return engines::upstream_load{.running = in.integer<std::uint32_t>(),
+                                          .pending_prefill_tokens = in.integer<std::uint64_t>(),
+                                          .held_tokens = in.integer<std::uint64_t>()};
+        });
+}
+
+workspace_usages read_usages(cbor_reader& in)
+{
+    constexpr std::uint64_t without_refusals = 3;
+    constexpr std::uint64_t with_refusals = 5;
+    workspace_usages usages;
+    read_items(in,
+               [&]
+               {
+                   const auto size = in.array(without_refusals);
+                   auto id = read_id<base::workspace_id>(in);
+                   workspace_usage usage{.demanded = in.real(), .served = in.real()};
+                   if (size >= with_refusals)
+                   {
+                       usage.refused = in.real();
+                       usage.held_by_engines = in.real();
+                   }
+                   in.skip(size - (size >= with_refusals ? with_refusals : without_refusals));
+                   usages.insert_or_assign(usages.end(), std::move(id), usage);
+               });
+    return usages;
+}
+
+std::vector<attempts::suspect_entry> read_suspects(cbor_reader& in)
+{
+    std::vector<attempts::suspect_entry> suspects;
+    read_entries(
+        in, 5,
+        [&]
+        {
+            attempts::suspect_entry entry{.fingerprint =
+                                              read_enum<attempts::request_fingerprint>(in)};
+            read_items(
+                in,
+                [&] { entry.upstreams.push_back(read_enum<attempts::upstream_fingerprint>(in)); });
+            entry.ran_alone = in.boolean();
+            entry.cleared = in.boolean();
+            entry.expires_in_ms = in.integer<std::uint32_t>();
+            suspects.push_back(std::move(entry));
+        });
+    return suspects;
+}
+
+std::vector<returns::request_fingerprint> read_refused(cbor_reader& in)
+{
+    std::vector<returns::request_fingerprint> refused;
+    read_items(in, [&] { refused.push_back(read_enum<returns::request_fingerprint>(in)); });
+    return refused;
+}
+
+parts::part_evidence read_part_evidence(cbor_reader& in)
+{
+    constexpr std::uint64_t without_sound_age = 2;
+    constexpr std::uint64_t with_sound_age = 3;
+    const auto size = in.array(without_sound_age);
+    parts::part_evidence evidence{.part = read_enum<parts::part_fingerprint>(in)};
+    read_entries(in, 2,
+                 [&]
+                 {
+                     evidence.crashes.push_back(
+                         {.upstream = read_enum<attempts::upstream_fingerprint>(in),
+                          .age = read_milliseconds<std::uint32_t>(in)});
+                 });
+    if (size >= with_sound_age)
+    {
+        evidence.sound_age = read_milliseconds<std::uint32_t>(in);
+    }
+    in.skip(size - (size >= with_sound_age ? with_sound_age : without_sound_age));
+    return evidence;
+}
+
+std::vector<parts::part_evidence> read_suspected_parts(cbor_reader& in)
+{
+    std::vector<parts::part_evidence> suspected;
+    read_items(in, [&] { suspected.push_back(read_part_evidence(in)); });
+    return suspected;
+}
+
+engines::prefill_records read_prefill_records(cbor_reader& in)
+{
+    return read_map<engines::prefill_records>(
+        in, 3,
+        [&] { return engines::prefill_record{.milliseconds = in.real(), .tokens = in.real()}; });
+}
+
+engines::pace_records read_paces(cbor_reader& in)
+{
+    return read_map<engines::pace_records>(
+        in, 3, [&] { return engines::pace_record{.milliseconds = in.real(), .units = in.real()}; });
+}
+
+std::vector<parts::part_rate> read_part_rates(cbor_reader& in)
+{
+    std::vector<parts::part_rate> rates;
+    read_entries(in, 2,
+                 [&] {
+                     rates.push_back(
+                         {.prefix = in.integer<std::uint64_t>(), .requests_per_second = in.real()});
+                 });
+    return rates;
+}
+
+/// Digests of earlier routers lack the answer's age.
+table_state read_tables(cbor_reader& in)
+{
+    constexpr std::uint64_t without_answer_age = 5;
+    constexpr std::uint64_t with_answer_age = 6;
+    const auto size = in.array(without_answer_age);
+    table_state state{.polls_store = in.boolean(),
+                      .store_unreachable = in.boolean(),
+                      .answer_count = in.integer<std::uint64_t>(),
+                      .revision = in.integer<std::uint64_t>(),
+                      .content_hash = in.integer<std::uint64_t>()};
+    if (size >= with_answer_age)
+    {
+        state.answer_age = read_milliseconds<std::int64_t>(in);
+    }
+    in.skip(size - (size >= with_answer_age ? with_answer_age : without_answer_age));
+    return state;
+}
+
+std::vector<leaving_upstream> read_leaving(cbor_reader& in)
+{
+    std::vector<leaving_upstream> leaving;
+    read_entries(in, 2,
+                 [&]
+                 {
+                     leaving.push_back({.id = read_id<base::upstream_id>(in),
+                                        .process_start = read_milliseconds<std::int64_t>(in)});
+                 });
+    return leaving;
+}
+
+std::vector<zone_update> read_zones(cbor_reader& in)
+{
+    std::vector<zone_update> zones;
+    read_entries(in, 3,
+                 [&]
+                 {
+                     zones.push_back({.zone = read_id<base::zone_id>(in),
+                                      .drained = in.boolean(),
+                                      .revision = in.integer<std::uint64_t>()});
+                 });
+    return zones;
+}
+
+/// Returns the number of fields, after which the format has been read too; 0, and fails, for any
+/// other format.
+std::uint64_t read_begin(cbor_reader& in)
+{
+    const auto size = in.array(digest_format::required_fields);
+    return in.integer<std::uint64_t>() == digest_format::version ? size : 0;
+}
+
+digest_identity read_identity(cbor_reader& in)
+{
+    return {.sender = read_id<base::node_id>(in),
+            .incarnation = in.integer<std::uint64_t>(),
+            .sequence = in.integer<std::uint64_t>()};
+}
+
+void read_required_fields(cbor_reader& in, digest& message)
+{
+    auto identity = read_identity(in);
+    message.sender = std::move(identity.sender);
+    message.incarnation = identity.incarnation;
+    message.sequence = identity.sequence;
+    message.zone = read_id<base::zone_id>(in);
+    message.callers = read_endpoint(in);
+    message.control = read_endpoint(in);
+    message.datagrams = read_endpoint(in);
+    message.ready = in.boolean();
+    message.version = read_enum<base::config_version>(in);
+    message.tables_fresh_for = read_milliseconds<std::int64_t>(in);
+    message.loads = read_loads(in);
+    message.usages = read_usages(in);
+    message.capacity = in.real();
+    message.request_rate = in.real();
+    message.suspects = read_suspects(in);
+    message.refused = read_refused(in);
+    message.prefill_samples = read_prefill_records(in);
+    message.tables = read_tables(in);
+    message.leaving = read_leaving(in);
+    message.zones = read_zones(in);
+}
+
+void read_optional_fields(cbor_reader& in, std::uint64_t field_count, digest& message)
+{
+    if (field_count > digest_format::keeps_origins)
+    {
+        message.keeps_origins = in.boolean();
+    }
+    if (field_count > digest_format::suspected_parts)
+    {
+        message.suspected_parts = read_suspected_parts(in);
+    }
+    if (field_count > digest_format::processor_limited)
+    {
+        message.processor_limited = in.boolean();
+    }
+    if (field_count > digest_format::paces)
+    {
+        message.paces = read_paces(in);
+    }
+    if (field_count > digest_format::part_rates)
+    {
+        message.part_rates = read_part_rates(in);
+    }
+    if (field_count > digest_format::fields)
+    {
+        in.skip(field_count - digest_format::fields);
+    }
+}
+
+base::error not_a_digest()
+{
+    return base::make_error(base::errc::corrupt, "Datagram is not a digest of the current format.");
+}
+
+}  // namespace
+
+base::result<digest> decode(std::string_view bytes)
+{
+    cbor_reader in(bytes);
+    const auto field_count = read_begin(in);
+    if (field_count == 0)
+    {
+        return not_a_digest();
+    }
+    digest message;
+    read_required_fields(in, message);
+    read_optional_fields(in, field_count, message);
+    if (in.failed() || !in.at_end())
+    {
+        return not_a_digest();
+    }
+    return message;
+}
+
+base::result<digest_identity> decode_identity(std::string_view bytes)
+{
+    cbor_reader in(bytes);
+    if (read_begin(in) == 0)
+    {
+        return not_a_digest();
+    }
+    auto identity = read_identity(in);
+    if (in.failed())
+    {
+        return not_a_digest();
+    }
+    return identity;
+}
+
+}  // namespace caraway::routing
