--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -217,6 +217,12 @@
 
 void peer_link::on_digest(std::string_view bytes)
 {
+    const auto identity = routing::decode_identity(bytes);
+    if (identity && peers_.is_outdated(identity.value()))
+    {
+        ++digests_received_;
+        return;
+    }
     auto decoded = routing::decode(bytes);
     if (!decoded)
     {
--- a/src/libcaraway/routing/engines/load_tracker.cpp
+++ b/src/libcaraway/routing/engines/load_tracker.cpp
@@ -14,6 +14,27 @@
     value -= std::min(value, amount);
 }
 
+/// Calls `changed` for each of the loads that isn't the same among the others. Most are, in two
+/// digests that follow each other.
+template <class Changed>
+void for_each_changed(const upstream_loads& loads, const upstream_loads& others,
+                      const Changed& changed)
+{
+    auto other = others.begin();
+    for (const auto& [id, load] : loads)
+    {
+        while (other != others.end() && other->first < id)
+        {
+            ++other;
+        }
+        const bool is_same = other != others.end() && other->first == id && other->second == load;
+        if (!is_same)
+        {
+            changed(id, load);
+        }
+    }
+}
+
 }  // namespace
 
 upstream_load& upstream_load::operator+=(const upstream_load& other)
@@ -62,15 +83,14 @@
 void load_tracker::set_peer(const base::node_id& peer, upstream_loads loads, base::time_point now)
 {
     auto& known_peer = peers_[peer];
-    for (const auto& [id, load] : loads)
-    {
-        loads_[id].peers += load;
-    }
-    for (const auto& [id, load] : known_peer.loads)
-    {
-        loads_[id].peers -= load;
-        erase_if_idle(id);
-    }
+    for_each_changed(loads, known_peer.loads,
+                     [&](const auto& id, const auto& load) { loads_[id].peers += load; });
+    for_each_changed(known_peer.loads, loads,
+                     [&](const auto& id, const auto& load)
+                     {
+                         loads_[id].peers -= load;
+                         erase_if_idle(id);
+                     });
     known_peer = {.loads = std::move(loads), .received = now};
 }
 
--- a/src/libcaraway/routing/peer_table.cpp
+++ b/src/libcaraway/routing/peer_table.cpp
@@ -72,20 +72,29 @@
     }
 }
 
-bool peer_table::record_digest(const digest& received, base::time_point now)
+bool peer_table::is_outdated(const digest_identity& identity) const
 {
-    if (received.sender == self_)
+    if (identity.sender == self_)
     {
-        return false;
+        return true;
     }
-    auto& known = peers_[received.sender];
-    const bool outdated =
-        received.incarnation < known.incarnation ||
-        (received.incarnation == known.incarnation && received.sequence <= known.sequence);
+    const auto found = peers_.find(identity.sender);
+    const auto newest = found == peers_.end()
+                            ? std::pair<std::uint64_t, std::uint64_t>()
+                            : std::pair(found->second.incarnation, found->second.sequence);
+    return std::pair(identity.incarnation, identity.sequence) <= newest;
+}
+
+bool peer_table::record_digest(const digest& received, base::time_point now)
+{
+    const bool outdated = is_outdated({.sender = received.sender,
+                                       .incarnation = received.incarnation,
+                                       .sequence = received.sequence});
     if (outdated)
     {
         return false;
     }
+    auto& known = peers_[received.sender];
     const auto last_sent = known.last_sent;
     known = peer_of(received);
     known.last_digest = now;
--- a/src/libcaraway/routing/peer_table.hpp
+++ b/src/libcaraway/routing/peer_table.hpp
@@ -86,8 +86,10 @@
     /// Adds a peer known only by name and addresses. For a known peer, only a later incarnation of
     /// an unreachable one changes anything.
     void add_discovered(const peer& discovered, base::time_point now);
-    /// Updates the sender's entry. Returns false, and changes nothing, for a digest of an earlier
-    /// incarnation, an outdated or repeated one, or one of this router's own.
+    /// Whether a digest changes nothing: it is of an earlier incarnation, older than or equal to
+    /// the last one, or this router's own.
+    bool is_outdated(const digest_identity& identity) const;
+    /// Updates the sender's entry. Returns false, and changes nothing, for an outdated digest.
     bool record_digest(const digest& received, base::time_point now);
     void remove_expired(base::time_point now);
 
--- a/tests/routing/test_load_and_wait_queue.cpp
+++ b/tests/routing/test_load_and_wait_queue.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <random>
+
 using namespace caraway;
 using namespace std::chrono_literals;
 using namespace caraway::routing;
@@ -45,6 +47,41 @@
     BOOST_TEST((tracker.total(engine) == upstream_load{}));
 }
 
+BOOST_AUTO_TEST_CASE(the_load_of_peers_is_the_sum_of_their_last_digests)
+{
+    load_tracker tracker;
+    std::mt19937 random(5);
+    std::map<base::node_id, upstream_loads> last;
+    const auto upstream = [](unsigned number)
+    {
+        return base::upstream_id("e" + std::to_string(number));
+    };
+    for (int turn = 0; turn < 500; ++turn)
+    {
+        upstream_loads loads;
+        for (auto left = random() % 6; left > 0; --left)
+        {
+            loads[upstream(static_cast<unsigned>(random() % 8))] = {
+                .running = static_cast<std::uint32_t>(random() % 3),
+                .pending_prefill_tokens = random() % 2,
+                .held_tokens = random() % 2};
+        }
+        const base::node_id sender("r" + std::to_string(random() % 4));
+        tracker.set_peer(sender, loads, now);
+        last[sender] = loads;
+        for (unsigned number = 0; number < 8; ++number)
+        {
+            upstream_load sum;
+            for (const auto& [id, each] : last)
+            {
+                const auto found = each.find(upstream(number));
+                sum += found == each.end() ? upstream_load{} : found->second;
+            }
+            BOOST_REQUIRE((tracker.total(upstream(number)) == sum));
+        }
+    }
+}
+
 // Guards against counting the last reported load of a crashed router indefinitely, which left
 // engines half empty for as long as the router was remembered.
 BOOST_AUTO_TEST_CASE(the_load_of_an_unreachable_router_expires)
--- a/tests/routing/test_peers.cpp
+++ b/tests/routing/test_peers.cpp
@@ -193,6 +193,34 @@
     BOOST_TEST(peers.record_digest(make_digest("b", 3, 1), now));
 }
 
+BOOST_AUTO_TEST_CASE(a_digest_is_outdated_exactly_if_it_would_change_nothing)
+{
+    auto peers = make_table();
+    const auto is_outdated =
+        [&](const char* sender, std::uint64_t incarnation, std::uint64_t sequence)
+    {
+        return peers.is_outdated(
+            {.sender = base::node_id(sender), .incarnation = incarnation, .sequence = sequence});
+    };
+    BOOST_TEST(!is_outdated("b", 1, 1));
+    peers.record_digest(make_digest("b", 2, 5), now);
+    BOOST_TEST(is_outdated("b", 2, 5));
+    BOOST_TEST(is_outdated("b", 2, 4));
+    BOOST_TEST(is_outdated("b", 1, 9));
+    BOOST_TEST(!is_outdated("b", 2, 6));
+    BOOST_TEST(!is_outdated("b", 3, 1));
+    BOOST_TEST(!is_outdated("c", 1, 1));
+    BOOST_TEST(is_outdated("self", 9, 9));
+}
+
+BOOST_AUTO_TEST_CASE(a_digest_without_numbers_adds_no_peer)
+{
+    auto peers = make_table();
+
+    BOOST_TEST(!peers.record_digest(make_digest("b", 0, 0), now));
+    BOOST_TEST(peers.size() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_routers_own_digest_adds_no_peer)
 {
     auto peers = make_table();
