Part engines: pace of engines and plain upstreams, and memory over all routers

Cause: a request more cost 1.5 ms at any engine and a call 20 ms at any plain upstream, though upstreams of one service differ twofold. Memory was bounded by counts up to half a second old: a clump from many routers could exceed it.

Change: relative_pace learns the time per event (or call) of each upstream relative to the mean of its service under the same load, from this router's attempts and what peers tell; engine_view makes costs and throughput of it. memory_guard divides the room left in an engine among the routers, by what each holds; digests mark what peers know.

--- a/src/libcaraway/router/daemon_answers.cpp
+++ b/src/libcaraway/router/daemon_answers.cpp
@@ -132,6 +132,14 @@
     set_gauge("caraway_requests_during_rest",
               "Requests sent to upstreams during a rest that they had asked for, in total.",
               static_cast<double>(core_.requests_during_rest));
+    const auto speeds = core_.engines.summary();
+    set_gauge(
+        "caraway_upstreams_slow",
+        "Upstreams whose work takes an eighth longer, or more, than the mean of their service.",
+        static_cast<double>(speeds.slow));
+    set_gauge("caraway_upstream_slowness_max",
+              "Time that work takes at the slowest upstream, relative to the mean of its service.",
+              speeds.largest_slowness);
     set_gauge(
         "caraway_upstreams_age_seconds",
         "Time since the store, or a router that polls it, last confirmed the known upstreams.",
@@ -176,6 +184,7 @@
     for (const auto& [id, upstream] : core_.directory.all())
     {
         const auto load = core_.load_tracker.total(id);
+        const auto estimate = core_.engines.estimate(id, now);
         upstreams.push_back({{"id", id.str()},
                              {"service", upstream.service.str()},
                              {"zone", upstream.zone.str()},
@@ -186,7 +195,11 @@
                              {"ejected", core_.health.ejected(id, now)},
                              {"rest_left_ms", core_.health.rest_left(id, now).count()},
                              {"running", load.running},
-                             {"unread_tokens", load.pending_prefill_tokens}});
+                             {"unread_tokens", load.pending_prefill_tokens},
+                             {"held_tokens", load.held_tokens},
+                             {"slowness", core_.engines.pace.slowness(id)},
+                             {"throughput", core_.engines.relative_throughput(id)},
+                             {"prefill_us_per_token", estimate.prefill_ms_per_token * 1000}});
     }
     auto peers = nlohmann::ordered_json::array();
     for (const auto& [id, peer] : peers_.all())
--- a/src/libcaraway/router/daemon_peers.cpp
+++ b/src/libcaraway/router/daemon_peers.cpp
@@ -325,6 +325,7 @@
     digest.version = core_.version();
     digest.tables_fresh_for = std::chrono::duration_cast<milliseconds>(upstreams_->fresh_for(now));
     digest.loads = core_.load_tracker.own_loads();
+    core_.load_tracker.record_told(peers_.digest_period(), now);
     digest.usages = core_.shares.own_usages(now);
     digest.suspects = core_.crashes.entries(now);
     digest.refused =
@@ -333,6 +334,7 @@
     {
         next_prefill_records_ = now + prefill_records_period;
         core_.engines.refresh(now);
+        core_.engines.memory.update(core_.load_tracker, core_.options.name, peers_.digest_period());
         digest.prefill_samples = core_.engines.prefill.own_records(now);
         digest.paces = core_.engines.own_records(now);
     }
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -257,7 +257,7 @@
     }
     if (!received.paces.empty())
     {
-        core_.engines.set_peer(received.sender, received.paces, now);
+        core_.engines.merge_peer(received.paces, now);
     }
     if (!received.suspects.empty())
     {
--- a/src/libcaraway/routing/engines/engine_view.hpp
+++ b/src/libcaraway/routing/engines/engine_view.hpp
@@ -3,8 +3,13 @@
 #include "libcaraway/routing/attempt_summary.hpp"
 #include "libcaraway/routing/configuration.hpp"
 #include "libcaraway/routing/engines/load_tracker.hpp"
+#include "libcaraway/routing/engines/memory_guard.hpp"
 #include "libcaraway/routing/engines/pace_record.hpp"
 #include "libcaraway/routing/engines/prefill_pace.hpp"
+#include "libcaraway/routing/engines/relative_pace.hpp"
+#include "libcaraway/routing/engines/time_split.hpp"
+
+#include <unordered_map>
 
 namespace caraway::routing::engines
 {
@@ -22,34 +27,63 @@
     bool stalled = false;
 };
 
+/// Speeds of all upstreams, for metrics.
+struct speed_summary
+{
+    /// Upstreams that are slower than the mean of their service.
+    std::size_t slow = 0;
+    /// Time that work takes at the slowest one, relative to the mean of its service.
+    double largest_slowness = 1;
+};
+
 /// What the requests of all routers showed of the upstreams' speed, for the placer.
 class engine_view
 {
 public:
     /// Speed of reading prompts.
     prefill_pace prefill;
+    /// Time per event of engines, and per call of plain upstreams.
+    relative_pace pace;
+    memory_guard memory;
 
     upstream_estimate estimate(const base::upstream_id& id, base::time_point now) const;
-    /// What an upstream does compared to the mean of its service; 1 if nothing is known of it.
+    /// What an upstream does compared to the mean of its service, reading and decoding together; 1
+    /// if it is about average or nothing is known of it. Changes in steps, as shared parts of
+    /// prompts move with it.
     double relative_throughput(const base::upstream_id& id) const;
-    /// Requests that an engine may run, and tokens of memory that they may reserve there, given the
-    /// request's own limit `slot_share`; see placement_request.
+    /// Requests that an engine may run, given the request's own limit `slot_share`; see
+    /// placement_request.
     double max_running(const engine_capacity& engine, const base::upstream_id& id,
                        double slot_share) const;
-    std::uint64_t max_tokens(const engine_capacity& engine, const base::upstream_id& id,
-                             base::time_point now) const;
+
+    speed_summary summary() const;
 
     /// Records an ended attempt of this router.
     void record_attempt(const attempt_summary& ended, base::time_point now);
     /// Drops what is known of an upstream, after its process was replaced.
     void forget(const base::upstream_id& id);
 
-    /// Replaces a peer's records.
-    void set_peer(const base::node_id& peer, const pace_records& records, base::time_point now);
+    /// Adds a peer's records.
+    void merge_peer(const pace_records& records, base::time_point now);
     /// This router's own records for its digest.
     pace_records own_records(base::time_point now);
     /// Recomputes the estimates from the records of all routers; called about once a second.
     void refresh(base::time_point now);
+
+private:
+    /// Estimates of an upstream that isn't average.
+    struct known_speed
+    {
+        double prefill_ms_per_token = 0;
+        double slowness = 1;
+        double throughput = 1;
+    };
+
+    double throughput(const known_speed& speed, double mean_prefill) const;
+
+    time_split split_;
+    /// Kept in one table, so that each upstream considered for a request takes one look-up.
+    std::unordered_map<base::upstream_id, known_speed> speeds_;
 };
 
 }  // namespace caraway::routing::engines
--- a/src/libcaraway/routing/engines/load_tracker.cpp
+++ b/src/libcaraway/routing/engines/load_tracker.cpp
@@ -1,6 +1,7 @@
 #include "libcaraway/routing/engines/load_tracker.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace caraway::routing::engines
 {
@@ -8,6 +9,9 @@
 namespace
 {
 
+/// Growth of held tokens is counted over this time, so a sum is also a rate per second.
+constexpr std::chrono::seconds growth_period{1};
+
 template <class Number>
 void subtract(Number& value, Number amount)
 {
@@ -32,6 +36,13 @@
     return *this;
 }
 
+upstream_load known_load::total() const
+{
+    auto sum = own;
+    sum += peers;
+    return sum;
+}
+
 load_tracker::load_tracker(load_options options) : options_(options) {}
 
 void load_tracker::record_start(const base::upstream_id& id, const upstream_load& load)
@@ -62,9 +73,19 @@
 void load_tracker::set_peer(const base::node_id& peer, upstream_loads loads, base::time_point now)
 {
     auto& known_peer = peers_[peer];
+    auto before = known_peer.loads.cbegin();
     for (const auto& [id, load] : loads)
     {
-        loads_[id].peers += load;
+        while (before != known_peer.loads.cend() && before->first < id)
+        {
+            ++before;
+        }
+        const bool was_loaded = before != known_peer.loads.cend() && before->first == id;
+        auto& known = loads_[id];
+        known.peers += load;
+        const auto held_before = was_loaded ? before->second.held_tokens : 0;
+        known.growth +=
+            static_cast<double>(load.held_tokens - std::min(load.held_tokens, held_before));
     }
     for (const auto& [id, load] : known_peer.loads)
     {
@@ -77,6 +98,7 @@
 void load_tracker::expire_peers(base::time_point now, std::chrono::milliseconds lifetime)
 {
     lifetime = std::max(lifetime, options_.peer_lifetime);
+    start_growth_period(now);
     for (auto entry = peers_.begin(); entry != peers_.end();)
     {
         if (entry->second.received + lifetime > now)
@@ -102,6 +124,67 @@
     }
 }
 
+void load_tracker::start_growth_period(base::time_point now)
+{
+    if (now < growth_period_start_ + growth_period)
+    {
+        return;
+    }
+    growth_period_start_ = now;
+    for (auto& [id, known] : loads_)
+    {
+        known.last_growth = std::exchange(known.growth, 0);
+    }
+}
+
+void load_tracker::record_told(std::chrono::milliseconds digest_period, base::time_point now)
+{
+    const bool is_next_period = now >= told_period_start_ + digest_period;
+    if (is_next_period)
+    {
+        told_period_start_ = now;
+    }
+    for (auto& [id, known] : loads_)
+    {
+        if (is_next_period)
+        {
+            known.told_before_tokens = known.told_tokens;
+        }
+        known.told_tokens = known.own.held_tokens;
+    }
+}
+
+const known_load& load_tracker::load_of(const base::upstream_id& id) const
+{
+    static const known_load idle;
+    const auto known = loads_.find(id);
+    return known == loads_.end() ? idle : known->second;
+}
+
+std::map<base::node_id, std::uint64_t> load_tracker::held_by_peers() const
+{
+    std::map<base::node_id, std::uint64_t> held;
+    for (const auto& [peer, entry] : peers_)
+    {
+        auto& sum = held[peer];
+        for (const auto& [id, load] : entry.loads)
+        {
+            sum += load.held_tokens;
+        }
+    }
+    return held;
+}
+
+std::uint64_t load_tracker::own_held_tokens() const
+{
+    std::uint64_t sum = 0;
+    for (const auto& [id, known] : loads_)
+    {
+        sum += known.own.held_tokens;
+    }
+    return sum;
+}
+
 upstream_loads load_tracker::own_loads() const
 {
     upstream_loads loads;
@@ -117,14 +200,7 @@
 
 upstream_load load_tracker::total(const base::upstream_id& id) const
 {
-    const auto known = loads_.find(id);
-    if (known == loads_.end())
-    {
-        return {};
-    }
-    auto sum = known->second.own;
-    sum += known->second.peers;
-    return sum;
+    return load_of(id).total();
 }
 
 std::uint32_t load_tracker::own_running(const base::upstream_id& id) const
--- a/src/libcaraway/routing/engines/load_tracker.hpp
+++ b/src/libcaraway/routing/engines/load_tracker.hpp
@@ -28,6 +28,32 @@
 
 using upstream_loads = std::map<base::upstream_id, upstream_load>;
 
+/// What a router knows of the load of one upstream.
+struct known_load
+{
+    /// This router's requests, and the sum over all peers.
+    upstream_load own;
+    upstream_load peers;
+    /// This router's held tokens as of its last digest, and as of a digest period before that.
+    std::uint64_t told_tokens = 0;
+    std::uint64_t told_before_tokens = 0;
+    /// Growth of the peers' held tokens in this and the last second, without what ended meanwhile.
+    double growth = 0;
+    double last_growth = 0;
+
+    upstream_load total() const;
+    /// Tokens of this router's requests that peers may know of.
+    std::uint64_t known_to_peers() const
+    {
+        return std::min({own.held_tokens, told_tokens, told_before_tokens});
+    }
+    /// Tokens per second by which the peers' load grew.
+    double growth_per_second() const
+    {
+        return std::max(growth, last_growth);
+    }
+};
+
 struct load_options
 {
     /// Time since its last digest after which a router's load is no longer counted. Upstreams
@@ -56,6 +82,13 @@
 
     /// The load of this router's requests, for its digest.
     upstream_loads own_loads() const;
+    /// Notes that the own load was told to peers, of which each hears at least once in a
+    /// `digest_period`.
+    void record_told(std::chrono::milliseconds digest_period, base::time_point now);
+    const known_load& load_of(const base::upstream_id& id) const;
+    /// Tokens held by the requests of each peer, and by this router's own.
+    std::map<base::node_id, std::uint64_t> held_by_peers() const;
+    std::uint64_t own_held_tokens() const;
     upstream_load total(const base::upstream_id& id) const;
     std::uint32_t own_running(const base::upstream_id& id) const;
 
@@ -66,20 +99,16 @@
         base::time_point received{};
     };
 
-    struct known_load
-    {
-        upstream_load own;
-        /// Sum over all peers.
-        upstream_load peers;
-    };
-
     void erase_if_idle(const base::upstream_id& id);
+    void start_growth_period(base::time_point now);
 
     load_options options_;
     /// Holds own and peer load together, so that each upstream considered for a request takes one
     /// look-up.
     std::unordered_map<base::upstream_id, known_load> loads_;
     std::map<base::node_id, peer_loads> peers_;
+    base::time_point growth_period_start_{};
+    base::time_point told_period_start_{};
 };
 
 }  // namespace caraway::routing::engines
--- a/src/libcaraway/routing/engines/pace_record.hpp
+++ b/src/libcaraway/routing/engines/pace_record.hpp
@@ -7,9 +7,10 @@
 namespace caraway::routing::engines
 {
 
-/// Work that one router saw an upstream do, with recent samples weighing more: output tokens of an
-/// engine, or calls of a plain upstream, and the time that these took while the upstream worked on
-/// them. Zero, negative and infinite values, and unknown upstreams, are ignored by who reads it.
+/// Work that one router saw an upstream do. A unit is a piece of work (a stream of an engine, a
+/// call of a plain upstream) that takes the mean upstream of the service 1 ms under the same load,
+/// after scaling; so milliseconds / units is how slow the upstream is. Zero, negative and infinite
+/// values are ignored by who reads it.
 struct pace_record
 {
     double milliseconds = 0;
--- a/src/libcaraway/routing/engines/prefill_pace.cpp
+++ b/src/libcaraway/routing/engines/prefill_pace.cpp
@@ -96,12 +96,32 @@
     return all_.tokens > 0 ? all_.milliseconds / all_.tokens : options_.initial_ms_per_token;
 }
 
+double prefill_pace::mean_of_engines() const
+{
+    double sum = 0;
+    for (const auto& [id, ms_per_token] : ms_per_token_)
+    {
+        sum += ms_per_token;
+    }
+    return sum > 0 ? sum / static_cast<double>(ms_per_token_.size()) : mean_ms_per_token();
+}
+
 double prefill_pace::ms_per_token(const base::upstream_id& id) const
 {
     const auto found = ms_per_token_.find(id);
     return found == ms_per_token_.end() ? mean_ms_per_token() : found->second;
 }
 
+void prefill_pace::forget(const base::upstream_id& id)
+{
+    own_.erase(id);
+    ms_per_token_.erase(id);
+    for (auto& [peer, entry] : peers_)
+    {
+        entry.records.erase(id);
+    }
+}
+
 void prefill_pace::apply_decay(decaying_record& record, base::time_point now) const
 {
     const double half_lives = std::chrono::duration<double>(now - record.updated) /
--- a/src/libcaraway/routing/engines/prefill_pace.hpp
+++ b/src/libcaraway/routing/engines/prefill_pace.hpp
@@ -66,6 +66,15 @@
 
     /// Estimated prefill time per token in ms; the mean of all engines if there is no sample.
     double ms_per_token(const base::upstream_id& id) const;
+    /// Mean over all tokens, and over the engines that have samples, each counted once.
+    double mean_ms_per_token() const;
+    double mean_of_engines() const;
+    /// The engines that have samples.
+    const std::unordered_map<base::upstream_id, double>& estimates() const
+    {
+        return ms_per_token_;
+    }
+    void forget(const base::upstream_id& id);
 
 private:
     struct decaying_record
@@ -80,7 +89,6 @@
     };
 
     void apply_decay(decaying_record& record, base::time_point now) const;
-    double mean_ms_per_token() const;
 
     prefill_pace_options options_;
     std::map<base::upstream_id, decaying_record> own_;
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -133,12 +133,13 @@
 {
     const auto& request = context.request;
     const auto& target = *context.candidates[index];
-    candidate considered{.target = &target, .total = context.board.total(target.id)};
+    const auto& load = context.board.load_of(target.id);
+    candidate considered{.target = &target, .total = load.total()};
     // The most frequent reason for exclusion is checked first: with hundreds of engines, most of
     // them full, placing nothing takes a small VM more CPU time than serving a request.
-    if (!has_room(context, target, considered.total) || was_tried(request, target.id) ||
+    if (!has_room(context, target, load) || was_tried(request, target.id) ||
         is_other_version(request, target) ||
-        !context.health.usable(target.id, context.board.own_running(target.id), context.now))
+        !context.health.usable(target.id, load.own.running, context.now))
     {
         return;
     }
@@ -233,20 +234,17 @@
 }
 
 bool placer::has_room(const search_context& context, const upstream& target,
-                      const engines::upstream_load& total) const
+                      const engines::known_load& load) const
 {
     const auto& request = context.request;
     const auto& engine = request.requested_service->engine;
+    const auto running = load.own.running + load.peers.running;
     if (!engine)
     {
-        return total.running <
-               static_cast<std::uint32_t>(options_.plain_calls_per_slot * target.slots);
+        return running < static_cast<std::uint32_t>(options_.plain_calls_per_slot * target.slots);
     }
-    const bool fits =
-        total.running == 0 || total.held_tokens + needed_tokens(request) <=
-                                  context.engines.max_tokens(*engine, target.id, context.now);
-    return fits &&
-           total.running < context.engines.max_running(*engine, target.id, request.slot_share);
+    return running < context.engines.max_running(*engine, target.id, request.slot_share) &&
+           context.engines.memory.has_room(*engine, target.id, load, needed_tokens(request));
 }
 
 double placer::cost(const candidate& rated, const placement_request& request) const
--- a/src/libcaraway/routing/placer.hpp
+++ b/src/libcaraway/routing/placer.hpp
@@ -161,7 +161,7 @@
     /// Makes the candidate the best one if it has room and costs less than the best so far.
     void consider(const search_context& context, std::size_t index, search_result& result) const;
     bool has_room(const search_context& context, const upstream& target,
-                  const engines::upstream_load& total) const;
+                  const engines::known_load& load) const;
     /// Returns the engine that should transfer the shared parts that the chosen one lacks, or null
     /// if prefilling them is about as fast or no engine can transfer them.
     const upstream* find_cache_source(const candidate& chosen, const upstream* home,
