--- a/src/libcaraway/router/settings.hpp
+++ b/src/libcaraway/router/settings.hpp
@@ -38,6 +38,8 @@
     /// How long an upstream that is leaving continues to serve requests; all routers must know
     /// within this time that the upstream leaves.
     std::chrono::milliseconds leaving_notice{2000};
+    /// An engine crashes if its requests need more memory than it has.
+    bool engines_crash_out_of_memory = false;
     /// Maximum time that callers cache a list of entry points.
     std::chrono::seconds entry_lifetime{1};
     std::size_t max_descriptors = 4096;
--- a/src/libcaraway/routing/engines/load_tracker.cpp
+++ b/src/libcaraway/routing/engines/load_tracker.cpp
@@ -1,6 +1,7 @@
 #include "libcaraway/routing/engines/load_tracker.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace caraway::routing::engines
 {
@@ -8,14 +9,17 @@
 namespace
 {
 
+/// Growth of held tokens is counted over this time, so a sum is also a rate per second.
+constexpr std::chrono::seconds growth_period{1};
+
 template <class Number>
 void subtract(Number& value, Number amount)
 {
     value -= std::min(value, amount);
 }
 
-/// Calls `changed` for each of the loads that isn't the same among the others. Most are, in two
-/// digests that follow each other.
+/// Calls `changed` for each of the loads that isn't the same among the others, with the load there.
+/// Most are the same in two digests that follow each other.
 template <class Changed>
 void for_each_changed(const upstream_loads& loads, const upstream_loads& others,
                       const Changed& changed)
@@ -27,10 +31,11 @@
         {
             ++other;
         }
-        const bool is_same = other != others.end() && other->first == id && other->second == load;
-        if (!is_same)
+        const bool is_known = other != others.end() && other->first == id;
+        const auto other_load = is_known ? other->second : upstream_load{};
+        if (!is_known || load != other_load)
         {
-            changed(id, load);
+            changed(id, load, other_load);
         }
     }
 }
@@ -53,6 +58,13 @@
     return *this;
 }
 
+upstream_load known_load::total() const
+{
+    auto sum = own;
+    sum += peers;
+    return sum;
+}
+
 load_tracker::load_tracker(load_options options) : options_(options) {}
 
 void load_tracker::record_start(const base::upstream_id& id, const upstream_load& load)
@@ -84,9 +96,15 @@
 {
     auto& known_peer = peers_[peer];
     for_each_changed(loads, known_peer.loads,
-                     [&](const auto& id, const auto& load) { loads_[id].peers += load; });
+                     [&](const auto& id, const auto& load, const auto& before)
+                     {
+                         auto& known = loads_[id];
+                         known.peers += load;
+                         known.growth += static_cast<double>(
+                             load.held_tokens - std::min(load.held_tokens, before.held_tokens));
+                     });
     for_each_changed(known_peer.loads, loads,
-                     [&](const auto& id, const auto& load)
+                     [&](const auto& id, const auto& load, const auto& /*after*/)
                      {
                          loads_[id].peers -= load;
                          erase_if_idle(id);
@@ -97,6 +115,7 @@
 void load_tracker::expire_peers(base::time_point now, std::chrono::milliseconds lifetime)
 {
     lifetime = std::max(lifetime, options_.peer_lifetime);
+    start_growth_period(now);
     for (auto entry = peers_.begin(); entry != peers_.end();)
     {
         if (entry->second.received + lifetime > now)
@@ -122,6 +141,67 @@
     }
 }
 
+void load_tracker::start_growth_period(base::time_point now)
+{
+    if (now < growth_period_start_ + growth_period)
+    {
+        return;
+    }
+    growth_period_start_ = now;
+    for (auto& [id, known] : loads_)
+    {
+        known.last_growth = std::exchange(known.growth, 0);
+    }
+}
+
+void load_tracker::record_told(std::chrono::milliseconds digest_period, base::time_point now)
+{
+    const bool is_next_period = now >= told_period_start_ + digest_period;
+    if (is_next_period)
+    {
+        told_period_start_ = now;
+    }
+    for (auto& [id, known] : loads_)
+    {
+        if (is_next_period)
+        {
+            known.told_before_tokens = known.told_tokens;
+        }
+        known.told_tokens = known.own.held_tokens;
+    }
+}
+
+const known_load& load_tracker::load_of(const base::upstream_id& id) const
+{
+    static const known_load idle;
+    const auto known = loads_.find(id);
+    return known == loads_.end() ? idle : known->second;
+}
+
+std::map<base::node_id, std::uint64_t> load_tracker::held_by_peers() const
+{
+    std::map<base::node_id, std::uint64_t> held;
+    for (const auto& [peer, entry] : peers_)
+    {
+        auto& sum = held[peer];
+        for (const auto& [id, load] : entry.loads)
+        {
+            sum += load.held_tokens;
+        }
+    }
+    return held;
+}
+
+std::uint64_t load_tracker::own_held_tokens() const
+{
+    std::uint64_t sum = 0;
+    for (const auto& [id, known] : loads_)
+    {
+        sum += known.own.held_tokens;
+    }
+    return sum;
+}
+
 upstream_loads load_tracker::own_loads() const
 {
     upstream_loads loads;
@@ -137,14 +217,7 @@
 
 upstream_load load_tracker::total(const base::upstream_id& id) const
 {
-    const auto known = loads_.find(id);
-    if (known == loads_.end())
-    {
-        return {};
-    }
-    auto sum = known->second.own;
-    sum += known->second.peers;
-    return sum;
+    return load_of(id).total();
 }
 
 std::uint32_t load_tracker::own_running(const base::upstream_id& id) const
--- a/tests/users_platform/test_settings.cpp
+++ b/tests/users_platform/test_settings.cpp
@@ -1,6 +1,7 @@
 #include "router_fixture.hpp"
 
 #include "libcaraway/router/settings_change.hpp"
+#include "platform/adapter.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -96,4 +97,20 @@
     BOOST_TEST(logged({R"("event":"settings_unreadable")", "half a file"}));
 }
 
+BOOST_AUTO_TEST_CASE(memory_of_engines_is_divided_only_where_the_rules_in_force_say_so)
+{
+    const auto decode = [](const std::string& rules)
+    {
+        return platform::decode_settings(
+            R"({"node_name":"r1","zone":"z1","ip":"10.0.0.1","internal_port_range":[7400,7415],)"
+            R"("platform":{"address":"10.0.0.9:80"},"listen":{"frontend":"10.0.0.1:81",)"
+            R"("readiness":"10.0.0.1:82","control_plane":"10.0.0.1:83","directory":"10.0.0.1:84"})" +
+            rules + "}");
+    };
+    BOOST_TEST(!decode("").value().engines_crash_out_of_memory);
+    BOOST_TEST(!decode(R"(,"contracts":["base","engine"])").value().engines_crash_out_of_memory);
+    BOOST_TEST(decode(R"(,"contracts":["base","pressure"])").value().engines_crash_out_of_memory);
+    BOOST_TEST(!decode(R"(,"contracts":[7,null])").value().engines_crash_out_of_memory);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
