--- a/src/libcaraway/http/client_connection.cpp
+++ b/src/libcaraway/http/client_connection.cpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 
 #include <charconv>
+#include <utility>
 
 namespace caraway::http
 {
@@ -160,6 +161,12 @@
         return;
     }
     read_pending_ = true;
+    const auto pause = std::exchange(pause_, {});
+    if (pause > base::duration::zero())
+    {
+        read_after(pause);
+        return;
+    }
     socket_.async_wait(tcp::socket::wait_read,
                        [self = shared_from_this()](const boost::system::error_code& error)
                        {
@@ -171,6 +178,19 @@
                        });
 }
 
+void client_connection::read_after(base::duration pause)
+{
+    timers_.after(pause,
+                  [self = shared_from_this()]
+                  {
+                      self->read_pending_ = false;
+                      if (!self->closed_)
+                      {
+                          self->on_readable({});
+                      }
+                  });
+}
+
 void client_connection::on_readable(const boost::system::error_code& error)
 {
     boost::system::error_code failed = error;
@@ -281,6 +301,7 @@
     const bool reusable = parser_->keep_alive() && !parser_->need_eof() && write_completed_;
     const auto seconds = parse_keep_alive_timeout(head);
     call_in_progress_ = false;
+    pause_ = {};
     if (write_completed_)
     {
         std::string().swap(request_);
--- a/src/libcaraway/http/client_connection.hpp
+++ b/src/libcaraway/http/client_connection.hpp
@@ -66,6 +66,12 @@
               answer_check belongs = nullptr);
     /// Closes the connection and cancels the call in progress, if any, without calling its events.
     void close();
+    /// Reads no more bytes of the answer for this time, so that those that arrive meanwhile are
+    /// read at once. Only within `body`; ends with the call.
+    void pause_reading(base::duration pause)
+    {
+        pause_ = pause;
+    }
 
     /// Whether the last attempt to connect was refused: nobody listens at the address.
     bool was_refused() const
@@ -94,6 +100,7 @@
     void set_socket_options();
     void write();
     void read();
+    void read_after(base::duration pause);
     void on_readable(const boost::system::error_code& error);
     void parse();
     void start_parser();
@@ -117,6 +124,8 @@
     answer_check belongs_;
     base::time_point idle_since_{};
     std::optional<base::time_point> keep_alive_until_;
+    /// Before the next read; 0 for none.
+    base::duration pause_{};
     bool head_only_ = false;
     bool call_in_progress_ = false;
     bool open_ = false;
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -3,6 +3,7 @@
 #include "libcaraway/router/request_session.hpp"
 
 #include "libcaraway/http/server_connection.hpp"
+#include "libcaraway/routing/entry/relay_pace.hpp"
 
 #include <algorithm>
 
@@ -221,6 +222,8 @@
     record_event_gap();
     ++core_.chunks_relayed;
     request_->write(new_events);
+    current.connection->pause_reading(
+        routing::entry::pause_after_events(core_.overload.overloaded(), route_->gap_target));
 }
 
 void request_session::record_arrival(attempt& current)
--- a/tests/http/test_client_connection.cpp
+++ b/tests/http/test_client_connection.cpp
@@ -223,6 +223,77 @@
     BOOST_TEST((sent_whole || !connection->is_reusable()));
 }
 
+BOOST_AUTO_TEST_CASE(bytes_that_arrive_during_a_pause_are_read_together)
+{
+    std::vector<std::string> parts;
+    bool ended = false;
+    connection->call({.ip = "127.0.0.1", .port = server.port()}, "GET /a HTTP/1.1\r\nhi", false,
+                     {.body =
+                          [&](std::string_view part)
+                      {
+                          parts.emplace_back(part);
+                          connection->pause_reading(100ms);
+                      },
+                      .end =
+                          [&]
+                      {
+                          ended = true;
+                      }});
+    BOOST_REQUIRE(becomes_true([&] { return !server.peers.empty(); }));
+    const auto& peer = server.peers.back();
+    peer->send("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nab");
+    BOOST_REQUIRE(becomes_true([&] { return parts.size() == 1; }));
+    const auto paused = clock.now();
+    peer->send("cd");
+    settle();
+    peer->send("ef");
+
+    BOOST_REQUIRE(becomes_true([&] { return ended; }));
+
+    BOOST_TEST((parts == std::vector<std::string>{"ab", "cdef"}));
+    BOOST_TEST((clock.now() - paused >= 100ms));
+    BOOST_TEST(connection->is_reusable());
+}
+
+BOOST_AUTO_TEST_CASE(a_pause_ends_with_its_call)
+{
+    bool ended = false;
+    connection->call({.ip = "127.0.0.1", .port = server.port()}, "GET /a HTTP/1.1\r\n\r\nhi", false,
+                     {.body = [&](std::string_view) { connection->pause_reading(1h); },
+                      .end =
+                          [&]
+                      {
+                          ended = true;
+                      }});
+    const auto peer = wait_for_requests();
+    peer->send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab");
+    BOOST_REQUIRE(becomes_true([&] { return ended; }));
+
+    const auto second = call("2");
+    wait_for_requests(2)->send(answer("2", "body"));
+
+    BOOST_TEST(becomes_true([&] { return second->ended; }));
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_closed_during_a_pause_reads_no_more)
+{
+    int parts = 0;
+    connection->call({.ip = "127.0.0.1", .port = server.port()}, "GET /a HTTP/1.1\r\nhi", false,
+                     {.body = [&](std::string_view)
+                      {
+                          ++parts;
+                          connection->pause_reading(5ms);
+                      }});
+    BOOST_REQUIRE(becomes_true([&] { return !server.peers.empty(); }));
+    server.peers.back()->send("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nab");
+    BOOST_REQUIRE(becomes_true([&] { return parts == 1; }));
+    server.peers.back()->send("cd");
+    connection->close();
+    settle();
+
+    BOOST_TEST(parts == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_connection_closed_by_its_owner_calls_no_events)
 {
     const auto only = call("1");
