Part door: a flooded VM's processor is divided among workspaces, not drawn by lot

Cause: all callers of a workspace hold on to one VM of 0.12 cores; streams there were admitted by lot, so a small workspace's chance fell with another one's flood.

Change: routing/entry/workspace_parts counts work asked and admitted by workspace and divides what the VM was given of late max-min. While the limit of streams is set, a workspace within its part is always admitted; the others compete for the limit, and one that has had more than its part waits. The lot of requests of low yield applies to those that compete. Nothing changes while no limit is set.

The calls of the guard in routing/overload_guards name the standing; no check changed.

--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -10,6 +10,7 @@
 #include "libcaraway/routing/engines/load_tracker.hpp"
 #include "libcaraway/routing/engines/slow_start.hpp"
 #include "libcaraway/routing/entry/overload_guard.hpp"
+#include "libcaraway/routing/entry/workspace_parts.hpp"
 #include "libcaraway/routing/origin_lookups.hpp"
 #include "libcaraway/routing/peer_table.hpp"
 #include "libcaraway/routing/placer.hpp"
@@ -165,6 +166,7 @@
     routing::crash_tracker crashes;
     routing::returns::refused_requests refused_requests;
     routing::entry::overload_guard overload;
+    routing::entry::workspace_parts parts;
     /// Requests to engines in flight: they take most of a router's CPU time.
     std::size_t active_streams = 0;
     routing::placer placer;
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -261,6 +261,7 @@
         core_.log.line("stood_still", {{"for_ms", elapsed.count()}});
     }
     max_tick_delay_ = std::max(max_tick_delay_, elapsed - tick_period);
+    core_.parts.advance(elapsed);
     const bool was_busy = core_.overload.overloaded();
     core_.overload.record_tick(elapsed - tick_period, core_.active_streams);
     if (was_busy != core_.overload.overloaded())
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -138,7 +138,11 @@
         return;
     }
     ended_ = true;
-    core_.active_streams -= admitted_ ? 1 : 0;
+    if (admitted_)
+    {
+        --core_.active_streams;
+        core_.parts.record_ended(workspace_id_);
+    }
     core_.timers.cancel(deadline_timer_);
     if (wait_id_)
     {
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -123,49 +123,6 @@
     return true;
 }
 
-void request_session::count_arrival()
-{
-    core_.retries.record_request(service_->id, core_.now());
-    if (!service_->engine)
-    {
-        return;
-    }
-    // Resubmitted requests count as demand again, so that more rejections lead to stricter limits
-    // beyond shares. Without them engines accepted a fifth more than they could answer on time
-    // (worth 0.02 lower on three deployments, n 54).
-    is_resubmission_ = core_.refused_requests.contains(mark(), core_.now());
-    core_.shares.record_demand(workspace_id_, share_tokens(), core_.now());
-}
-
-bool request_session::admit()
-{
-    if (!service_->engine)
-    {
-        return true;
-    }
-    const auto output = static_cast<double>(expected_output_tokens());
-    const routing::entry::stream_effort effort{
-        .tokens = metadata_.prompt_tokens + output,
-        .events = output / std::max(1U, service_->engine->tokens_per_event)};
-    if (!core_.overload.admits(effort, core_.active_streams, core_.random_unit()))
-    {
-        ++core_.overload_rejections;
-        reject("router_busy");
-        return false;
-    }
-    // An overloaded router reads late: the caller may have closed the connection already, with the
-    // close still unread behind the request. Such a request must not reach an upstream.
-    if (core_.overload.overloaded() && request_->caller_disconnected())
-    {
-        request_->abort();
-        finish("caller_left", 0, "before_sending");
-        return false;
-    }
-    ++core_.active_streams;
-    admitted_ = true;
-    return true;
-}
-
 void request_session::place_or_enqueue()
 {
     if (try_place())
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -78,6 +78,8 @@
     /// Counts the request as an active stream. Returns false if the session has ended: the router
     /// is overloaded, or the caller has left.
     bool admit();
+    /// What the request asks of this router's processor.
+    routing::entry::stream_effort effort() const;
     void place_or_enqueue();
 
     void send(routing::placement placement);
--- a/src/libcaraway/routing/entry/overload_guard.cpp
+++ b/src/libcaraway/routing/entry/overload_guard.cpp
@@ -66,7 +66,13 @@
     return new_connections_ < std::max(options_.min_connections, max_connections);
 }
 
-bool overload_guard::admits(const stream_effort& effort, std::size_t active_streams,
+bool overload_guard::has_room(std::size_t active_streams) const
+{
+    return active_streams < limit() && new_connections_ < connections_.value();
+}
+
+bool overload_guard::admits(const stream_effort& effort, part_standing standing,
+                            std::size_t active_streams, std::size_t streams_within,
                             double random_unit)
 {
     const auto yield = effort.yield();
@@ -75,8 +81,25 @@
     {
         return true;
     }
+    if (standing == part_standing::within)
+    {
+        return streams_within < limit();
+    }
+    if (standing == part_standing::ahead || active_streams >= limit())
+    {
+        return false;
+    }
     const bool low_yield = yield < options_.low_yield * mean_yield_;
-    return active_streams < limit() && (!low_yield || random_unit < options_.low_yield_chance);
+    return !low_yield || random_unit < options_.low_yield_chance;
+}
+
+std::string_view overload_guard::binding() const
+{
+    if (streams_.is_set())
+    {
+        return connections_.is_set() ? "streams_and_connections" : "streams";
+    }
+    return connections_.is_set() ? "connections" : "none";
 }
 
 void overload_guard::record_tick(std::chrono::milliseconds timer_delay, std::size_t active_streams)
--- a/src/libcaraway/routing/entry/overload_guard.hpp
+++ b/src/libcaraway/routing/entry/overload_guard.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "libcaraway/base/clock.hpp"
+#include "libcaraway/routing/entry/workspace_parts.hpp"
 
 #include <cstddef>
 #include <limits>
+#include <string_view>
 
 namespace caraway::routing::entry
 {
@@ -45,12 +47,17 @@
     /// Events relayed to the caller.
     double events = 0;
 
-    /// Tokens per event's worth of work. Reading, placing and sending a request costs a router
-    /// about ten times as much as relaying an event (130,000 against 13,000 instructions).
-    double yield() const
+    /// Work in units of relaying an event. Reading, placing and sending a request costs a router
+    /// about ten times as much (130,000 against 13,000 instructions).
+    double work() const
     {
         constexpr double request_cost = 10;
-        return tokens / (request_cost + events);
+        return request_cost + events;
+    }
+    /// Tokens per event's worth of work.
+    double yield() const
+    {
+        return tokens / work();
     }
 };
 
@@ -97,13 +104,26 @@
     /// Counts a new connection of a caller; returns whether another one may be accepted in the
     /// current tick.
     bool record_connection(std::size_t active_streams);
-    /// Returns whether one more stream may be accepted; `random_unit` is uniform in [0, 1).
-    bool admits(const stream_effort& effort, std::size_t active_streams, double random_unit);
+    /// Whether one more new connection may be passed on in the current tick that is of a workspace
+    /// beyond its part.
+    bool has_room(std::size_t active_streams) const;
+    /// Whether fewer connections were recorded in the current tick than are always accepted.
+    bool is_below_min_connections() const
+    {
+        return new_connections_ < options_.min_connections;
+    }
+    /// Returns whether one more stream may be accepted of a workspace with this standing. Those
+    /// within their parts are admitted beside the limit, which then has less room for the others;
+    /// `streams_within` of the active ones are theirs. `random_unit` is uniform in [0, 1).
+    bool admits(const stream_effort& effort, part_standing standing, std::size_t active_streams,
+                std::size_t streams_within, double random_unit);
     /// Whether the processor is at its limit.
     bool overloaded() const
     {
         return streams_.is_set() || connections_.is_set();
     }
+    /// Which limits are in force: "streams", "connections", "streams_and_connections" or "none".
+    std::string_view binding() const;
     /// Streams that may be active; adaptive_limit::unlimited if there is no limit.
     std::size_t limit() const
     {
--- a/tests/routing/test_overload_guard.cpp
+++ b/tests/routing/test_overload_guard.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/// Of a flood, which asks for more than its part.
+constexpr auto competing = part_standing::competing;
+
 const stream_effort ordinary{.tokens = 1000, .events = 10};
 
 /// A VM whose event loop is delayed by 1 ms per stream beyond `capacity`. Callers start `requested`
@@ -26,7 +29,8 @@
     {
         active_streams -= active_streams / 10;
         for (std::size_t count = 0;
-             count < requested && guard.admits(ordinary, active_streams, 0.5); ++count)
+             count < requested && guard.admits(ordinary, competing, active_streams, 0, 0.5);
+             ++count)
         {
             ++active_streams;
         }
@@ -62,7 +66,8 @@
             stops_accepting = !guard.record_connection(active_streams);
             ++accepted;
             active_streams +=
-                engines_have_slots && guard.admits(ordinary, active_streams, 0.5) ? 1 : 0;
+                engines_have_slots && guard.admits(ordinary, competing, active_streams, 0, 0.5) ? 1
+                                                                                                : 0;
         }
         const auto work_ms = static_cast<double>(accepted) * connection_cost_ms +
                              static_cast<double>(active_streams) * stream_cost_ms;
@@ -188,7 +193,7 @@
     guard.record_tick(4000ms, 50);
     guard.record_tick(60ms, 50);
 
-    BOOST_TEST(guard.admits(ordinary, 1000, 0.9));
+    BOOST_TEST(guard.admits(ordinary, competing, 1000, 0, 0.9));
 }
 
 // Guards against admitting requests regardless of their yield. The callers of a workspace were all
@@ -201,17 +206,17 @@
     overload_guard guard;
     for (int request = 0; request < 400; ++request)
     {
-        BOOST_TEST_REQUIRE(guard.admits(low_yield, 0, 0.9));
-        BOOST_TEST_REQUIRE(guard.admits(high_yield, 0, 0.9));
+        BOOST_TEST_REQUIRE(guard.admits(low_yield, competing, 0, 0, 0.9));
+        BOOST_TEST_REQUIRE(guard.admits(high_yield, competing, 0, 0, 0.9));
     }
     for (int tick = 0; tick < 3; ++tick)
     {
         guard.record_tick(60ms, 100);
     }
 
-    BOOST_TEST(guard.admits(high_yield, 50, 0.9));
-    BOOST_TEST(!guard.admits(low_yield, 50, 0.9));
-    BOOST_TEST(guard.admits(low_yield, 50, 0.1));
+    BOOST_TEST(guard.admits(high_yield, competing, 50, 0, 0.9));
+    BOOST_TEST(!guard.admits(low_yield, competing, 50, 0, 0.9));
+    BOOST_TEST(guard.admits(low_yield, competing, 50, 0, 0.1));
 }
 
 BOOST_AUTO_TEST_CASE(the_limit_is_removed_after_the_flood)
