Part homes: counts of use, and as many homes as a part's load needs

Cause: a shared part has one home and one to overflow to, however much of the traffic it gets and however fast these engines are.

Change: part_heat counts the use of parts (decaying, bounded, own ones exact, peers' from the digests' part_rates; a workspace with many parts loses its own). part_homes orders engines by weighted rendezvous hashing and takes as many as the part's load needs (requests a second x mean time in a slot against a quarter of an engine's slots), one in the asking zone, held against noise. Parts that are read faster than a transfer is set up keep one home. A further home that this router has not sent the part to fetches it from one before it in the order. Rates of another form in a digest are left out, and nothing else of it is lost. The request's line names the copy that it was sent to.

--- a/src/libcaraway/router/daemon_peers.cpp
+++ b/src/libcaraway/router/daemon_peers.cpp
@@ -335,6 +335,8 @@
         core_.engines.refresh(now);
         digest.prefill_samples = core_.engines.prefill.own_records(now);
         digest.paces = core_.engines.own_records(now);
+        core_.placer.homes().expire(now);
+        digest.part_rates = core_.placer.homes().heat().hottest(now);
     }
     digest.leaving = core_.directory.leaving(now);
     digest.zones = core_.directory.zones().updates();
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -259,6 +259,10 @@
     {
         core_.engines.set_peer(received.sender, received.paces, now);
     }
+    if (!received.part_rates.empty())
+    {
+        core_.placer.homes().heat().set_peer(received.sender, received.part_rates, now);
+    }
     if (!received.suspects.empty())
     {
         core_.crashes.merge(received.suspects, now);
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -74,7 +74,7 @@
             core_.shares.record_served(workspace_id_, share_tokens(), now);
             counted_as_served_ = true;
         }
-        core_.placer.record_sent(id, metadata_.parts, now);
+        core_.placer.record_sent(id, metadata_.parts, workspace_id_, now);
     }
     core_.slow_start.record_sent(placement.target, now);
     core_.health.record_sent(id, now);
@@ -426,6 +426,11 @@
     core_.timers.cancel(last->silence_timer);
     core_.untrack_in_flight(last->placement.target.id, *this);
     core_.load_tracker.record_end(last->placement.target.id, last->placement.load);
+    if (service_->engine && last->answer_begun)
+    {
+        core_.placer.homes().record_duration(metadata_.parts, core_.now() - last->sent_at,
+                                             core_.now());
+    }
     // A completed call has returned its connection to the pool. On any other connection the
     // upstream may still send bytes.
     if (last->connection)
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -219,6 +219,12 @@
         line["wait_ms"] = last_placement_->wait.count();
         line["unread"] = last_placement_->load.pending_prefill_tokens;
         line["running"] = last_placement_->running;
+        if (last_placement_->copy != routing::held_copy::no_parts)
+        {
+            line["copy"] = routing::name(last_placement_->copy);
+            line["shared"] = last_placement_->shared_tokens;
+            line["cached"] = last_placement_->cached_tokens;
+        }
         if (last_placement_->cache_source)
         {
             line["fetched_from"] = last_placement_->cache_source->id.str();
--- a/src/libcaraway/routing/digest.cpp
+++ b/src/libcaraway/routing/digest.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t processor_limited_position = 23;
 constexpr std::size_t paces_position = 24;
 constexpr std::size_t part_rates_position = 25;
+/// Routers send fewer.
+constexpr std::size_t max_part_rates = 256;
 
 json loads_json(const engines::upstream_loads& loads)
 {
@@ -233,13 +235,23 @@
     return out;
 }
 
+/// Entries of another form are left out: the digest is of use without them.
 std::vector<parts::part_rate> parse_part_rates(const json& encoded)
 {
     std::vector<parts::part_rate> rates;
+    if (!encoded.is_array())
+    {
+        return rates;
+    }
     for (const auto& each : encoded)
     {
-        rates.push_back({.prefix = each.at(0).get<std::uint64_t>(),
-                         .requests_per_second = each.at(1).get<double>()});
+        const bool is_rate = each.is_array() && each.size() >= 2 && each[0].is_number_unsigned() &&
+                             each[1].is_number();
+        if (is_rate && rates.size() < max_part_rates)
+        {
+            rates.push_back({.prefix = each[0].get<std::uint64_t>(),
+                             .requests_per_second = each[1].get<double>()});
+        }
     }
     return rates;
 }
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -58,9 +58,55 @@
         static_cast<double>(total.pending_prefill_tokens) * ms_per_token));
 }
 
+parts::prompt_homes find_homes(parts::part_homes& homes, const placement_request& request,
+                               const std::vector<const upstream*>& candidates,
+                               const engines::engine_view& engines,
+                               const placement_options& options, base::time_point now)
+{
+    const auto& engine = request.requested_service->engine;
+    if (!engine || candidates.empty())
+    {
+        return {};
+    }
+    const double read_ms =
+        shared_tokens(request) * engines.estimate(candidates.front()->id, now).prefill_ms_per_token;
+    const auto throughput = [&](const auto& id)
+    {
+        return engines.relative_throughput(id);
+    };
+    return homes.find(
+        {.prompt = request.parts,
+         .candidates = candidates,
+         .relative_throughput = throughput,
+         .slots = engine->slots,
+         .zone = options.zone,
+         .worth_copies = read_ms > static_cast<double>(options.min_transfer_gain.count())},
+        now);
+}
+
 }  // namespace
 
-placer::placer(placement_options options) : options_(std::move(options)) {}
+const char* name(held_copy copy)
+{
+    switch (copy)
+    {
+    case held_copy::no_parts:
+        return "no_parts";
+    case held_copy::home:
+        return "home";
+    case held_copy::further_copy:
+        return "further_copy";
+    case held_copy::overflow:
+        return "overflow";
+    case held_copy::sent_before:
+        return "sent_before";
+    case held_copy::none:
+        return "none";
+    }
+    return "none";
+}
+
+placer::placer(placement_options options) : options_(std::move(options)), homes_(options_.homes) {}
 
 std::optional<placement> placer::choose(const placement_request& request,
                                         const upstream_directory& directory,
@@ -76,9 +122,7 @@
         .health = health,
         .engines = engines,
         .now = now,
-        .homes = homes_.find(
-            request.requested_service->engine ? request.parts : nullptr, candidates,
-            [&](const auto& id) { return engines.relative_throughput(id); }, now),
+        .homes = find_homes(homes_, request, candidates, engines, options_, now),
         .shared = shared_tokens(request)};
     const auto best = cheapest(context);
     if (!best)
@@ -86,10 +130,10 @@
         return std::nullopt;
     }
     auto out = make_placement(*best, request);
-    const auto& homes = context.homes.homes;
-    const auto* home = homes.empty() ? nullptr : context.candidates[homes.back()];
-    if (const auto* source =
-            find_cache_source(*best, home, request, context.shared - best->cached, health, now))
+    out.copy = copy_at(context, *best);
+    out.shared_tokens = context.shared;
+    out.cached_tokens = best->cached;
+    if (const auto* source = find_cache_source(context, *best))
     {
         out.cache_source = *source;
     }
@@ -110,6 +154,10 @@
         {
             consider(context, home, result);
         }
+        for (const auto home : context.homes.copies)
+        {
+            consider(context, home, result);
+        }
         for (const auto home : context.homes.further_homes)
         {
             consider(context, home, result);
@@ -171,41 +219,132 @@
     }
 }
 
-const upstream* placer::find_cache_source(const candidate& chosen, const upstream* home,
-                                          const placement_request& request, std::uint32_t missing,
-                                          const scheduling::upstream_health& health,
-                                          base::time_point now) const
+held_copy placer::copy_at(const search_context& context, const candidate& chosen)
 {
-    const bool may_hold =
-        home != nullptr && home != chosen.target && !was_tried(request, home->id) &&
-        home->software == chosen.target->software && !health.excluded(home->id, now) &&
-        (request.cold_upstreams == nullptr || !request.cold_upstreams->is_cold(home->id, now));
-    const auto transfer_ms_per_token =
-        request.requested_service->engine
-            ? request.requested_service->engine->transfer_per_token.count()
-            : 0;
-    if (!may_hold || transfer_ms_per_token <= 0)
+    const auto& homes = context.homes;
+    if (homes.homes.empty())
+    {
+        return held_copy::no_parts;
+    }
+    const auto is_chosen = [&](std::size_t home)
+    {
+        return context.candidates[home] == chosen.target;
+    };
+    if (is_chosen(homes.homes.back()))
+    {
+        return held_copy::home;
+    }
+    if (std::any_of(homes.copies.begin(), homes.copies.end(), is_chosen))
+    {
+        return held_copy::further_copy;
+    }
+    if (chosen.cached >= context.shared)
+    {
+        return held_copy::sent_before;
+    }
+    const auto& further = homes.further_homes;
+    return std::any_of(further.begin(), further.end(), is_chosen) ? held_copy::overflow
+                                                                  : held_copy::none;
+}
+
+/// Of several homes, those before the chosen one in the part's order are asked in turn, so that
+/// copies spread like a tree; those that this router sent the part to are surest to hold it.
+const upstream* placer::find_cache_source(const search_context& context,
+                                          const candidate& chosen) const
+{
+    const auto& homes = context.homes;
+    const auto& engine = context.request.requested_service->engine;
+    if (homes.homes.empty() || !engine || engine->transfer_per_token.count() <= 0)
+    {
+        return nullptr;
+    }
+    const double gain = possibly_missing(context, chosen) *
+                        (chosen.estimate.prefill_ms_per_token - engine->transfer_per_token.count());
+    if (gain <= static_cast<double>(options_.min_transfer_gain.count()))
+    {
+        return nullptr;
+    }
+    std::vector<const upstream*> sources;
+    std::vector<const upstream*> sure_sources;
+    const auto add = [&](std::size_t home)
+    {
+        const auto* source = context.candidates[home];
+        if (source == chosen.target)
+        {
+            return false;
+        }
+        if (may_hold(context, *source, *chosen.target))
+        {
+            sources.push_back(source);
+            if (was_sent(source->id, homes.prefixes.back(), context.now))
+            {
+                sure_sources.push_back(source);
+            }
+        }
+        return true;
+    };
+    bool is_before_chosen = add(homes.homes.back());
+    for (std::size_t copy = 0; is_before_chosen && copy < homes.copies.size(); ++copy)
+    {
+        is_before_chosen = add(homes.copies[copy]);
+    }
+    const auto& choices = sure_sources.empty() ? sources : sure_sources;
+    if (choices.empty())
     {
         return nullptr;
     }
-    const double gain = missing * (chosen.estimate.prefill_ms_per_token - transfer_ms_per_token);
-    return gain > static_cast<double>(options_.min_transfer_gain.count()) ? home : nullptr;
+    const auto index =
+        static_cast<std::size_t>(context.request.random_unit * static_cast<double>(choices.size()));
+    return choices[std::min(index, choices.size() - 1)];
+}
+
+/// A further home of a hot part is assumed to hold it as soon as it is one, but may not have read
+/// it yet.
+std::uint32_t placer::possibly_missing(const search_context& context, const candidate& chosen) const
+{
+    const auto& homes = context.homes;
+    const bool is_new_copy =
+        std::any_of(homes.copies.begin(), homes.copies.end(),
+                    [&](std::size_t copy) { return context.candidates[copy] == chosen.target; }) &&
+        !was_sent(chosen.target->id, homes.prefixes.back(), context.now);
+    return is_new_copy ? context.shared : context.shared - chosen.cached;
+}
+
+bool placer::may_hold(const search_context& context, const upstream& source,
+                      const upstream& chosen) const
+{
+    const auto& request = context.request;
+    return !was_tried(request, source.id) && source.software == chosen.software &&
+           !context.health.excluded(source.id, context.now) &&
+           (request.cold_upstreams == nullptr ||
+            !request.cold_upstreams->is_cold(source.id, context.now));
+}
+
+bool placer::was_sent(const base::upstream_id& id, std::uint64_t prefix, base::time_point now) const
+{
+    const auto found = cached_parts_.find(id);
+    if (found == cached_parts_.end())
+    {
+        return false;
+    }
+    const auto sent = found->second.find(prefix);
+    return sent != found->second.end() && sent->second + options_.part_lifetime > now;
 }
 
 void placer::record_sent(const base::upstream_id& id, const std::vector<prompt_part>& prompt,
-                         base::time_point now)
+                         const base::workspace_id& workspace, base::time_point now)
 {
-    homes_.record_use(prompt, now);
+    const auto prefixes = parts::shared_prefix_hashes(prompt);
+    homes_.record_use(prefixes, workspace, now);
     auto& recorded = cached_parts_[id];
     if (recorded.size() > max_recorded_parts)
     {
         std::erase_if(recorded, [&](const auto& entry)
                       { return entry.second + options_.part_lifetime <= now; });
     }
-    const auto prefixes = parts::prefix_hashes(prompt);
-    for (std::size_t depth = 0; depth + 1 < prefixes.size(); ++depth)
+    for (const auto prefix : prefixes)
     {
-        recorded[prefixes[depth]] = now;
+        recorded[prefix] = now;
     }
 }
 
--- a/src/libcaraway/routing/placer.hpp
+++ b/src/libcaraway/routing/placer.hpp
@@ -40,6 +40,7 @@
     std::size_t sample_size = 96;
     /// How long a part is assumed to stay in an engine's cache after a request that contains it.
     std::chrono::milliseconds part_lifetime{20000};
+    parts::part_home_options homes;
 };
 
 /// A request to be placed, and the limits that apply to it.
@@ -69,9 +70,33 @@
     std::uint32_t max_repeated_tokens = std::numeric_limits<std::uint32_t>::max();
 };
 
+/// Why an upstream is assumed to have the shared parts of a prompt, or a part of them.
+enum class held_copy
+{
+    /// The prompt has no shared parts.
+    no_parts,
+    /// It is the first home of the last shared part.
+    home,
+    /// It is another home of a hot part.
+    further_copy,
+    /// Requests overflow to it from the homes.
+    overflow,
+    /// This router sent it the parts before.
+    sent_before,
+    /// It isn't assumed to have all of them.
+    none,
+};
+
+/// The name of the copy in log lines.
+const char* name(held_copy copy);
+
 struct placement
 {
     upstream target;
+    held_copy copy = held_copy::no_parts;
+    /// Tokens of the prompt's shared parts, and those that the target is assumed to have.
+    std::uint32_t shared_tokens = 0;
+    std::uint32_t cached_tokens = 0;
     /// Load that the request adds to the target.
     engines::upstream_load load;
     /// Engine from which the target should fetch the shared parts of the prompt that it lacks.
@@ -105,10 +130,15 @@
                                     const engines::load_tracker& board,
                                     const scheduling::upstream_health& health,
                                     const engines::engine_view& engines, base::time_point now);
-    /// Records that a request with these parts was sent to the upstream, which will have its shared
-    /// parts cached.
+    /// Records that a request of the workspace with these parts was sent to the upstream, which
+    /// will have its shared parts cached.
     void record_sent(const base::upstream_id& id, const std::vector<prompt_part>& prompt,
-                     base::time_point now);
+                     const base::workspace_id& workspace, base::time_point now);
+    /// The homes of shared parts, and how much these are used.
+    parts::part_homes& homes()
+    {
+        return homes_;
+    }
     /// Drops what is recorded of the cache of an upstream, after its process was replaced.
     void forget(const base::upstream_id& id)
     {
@@ -162,12 +192,16 @@
     void consider(const search_context& context, std::size_t index, search_result& result) const;
     bool has_room(const search_context& context, const upstream& target,
                   const engines::upstream_load& total) const;
+    static held_copy copy_at(const search_context& context, const candidate& chosen);
     /// Returns the engine that should transfer the shared parts that the chosen one lacks, or null
     /// if prefilling them is about as fast or no engine can transfer them.
-    const upstream* find_cache_source(const candidate& chosen, const upstream* home,
-                                      const placement_request& request, std::uint32_t missing,
-                                      const scheduling::upstream_health& health,
-                                      base::time_point now) const;
+    const upstream* find_cache_source(const search_context& context, const candidate& chosen) const;
+    /// Tokens of shared parts that the chosen upstream may lack.
+    std::uint32_t possibly_missing(const search_context& context, const candidate& chosen) const;
+    bool may_hold(const search_context& context, const upstream& source,
+                  const upstream& chosen) const;
+    /// Whether this router sent the part to the upstream within its lifetime there.
+    bool was_sent(const base::upstream_id& id, std::uint64_t prefix, base::time_point now) const;
     double cost(const candidate& rated, const placement_request& request) const;
     placement make_placement(const candidate& chosen, const placement_request& request) const;
 
--- a/tests/routing/test_placer.cpp
+++ b/tests/routing/test_placer.cpp
@@ -154,7 +154,7 @@
     const auto home = place(request)->target.id;
     const base::upstream_id other(home.str() == "e1" ? "e2" : "e1");
 
-    selector.record_sent(other, parts, now);
+    selector.record_sent(other, parts, base::workspace_id("w1"), now);
     board.record_start(home, {.running = 1, .pending_prefill_tokens = 6000});
 
     BOOST_TEST(place(request)->target.id == other);
