Part copies: routers tell each other where a shared part was sent beside its home

Cause: a home is assumed to have its parts. While it is full, requests overflow, each router choosing for itself; the home then reads what another engine has, and an engine that is told to fetch from the home gets nothing.

Change: part_copies takes the place of the placer's record of what it sent. A request sent elsewhere than to a home is told of in the next digests (part_rates with a holder, some 20 bytes, parts only that take longer to read than a transfer to set up). Requests overflow to engines known to hold the part, fetch from those known to have read it, and a home that this router doesn't know to have it fetches from these as well. Kept within bounds whatever a digest holds.

--- a/src/libcaraway/router/daemon_peers.cpp
+++ b/src/libcaraway/router/daemon_peers.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds copy_lifetime{200};
 /// Number of digests that report a rejected request, as datagrams get lost.
 constexpr int digests_per_rejection = 2;
+/// The same for a copy of a part of prompts.
+constexpr int digests_per_copy = 2;
 
 }  // namespace
 
@@ -329,6 +331,8 @@
     digest.suspects = core_.crashes.entries(now);
     digest.refused =
         core_.refused_requests.recent_own(digests_per_rejection * peers_.digest_period(), now);
+    digest.part_rates =
+        core_.placer.copies().announced(digests_per_copy * peers_.digest_period(), now);
     if (now >= next_prefill_records_)
     {
         next_prefill_records_ = now + prefill_records_period;
@@ -336,7 +340,8 @@
         digest.prefill_samples = core_.engines.prefill.own_records(now);
         digest.paces = core_.engines.own_records(now);
         core_.placer.homes().expire(now);
-        digest.part_rates = core_.placer.homes().heat().hottest(now);
+        const auto rates = core_.placer.homes().heat().hottest(now);
+        digest.part_rates.insert(digest.part_rates.end(), rates.begin(), rates.end());
     }
     digest.leaving = core_.directory.leaving(now);
     digest.zones = core_.directory.zones().updates();
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -262,6 +262,7 @@
     if (!received.part_rates.empty())
     {
         core_.placer.homes().heat().set_peer(received.sender, received.part_rates, now);
+        core_.placer.copies().merge(received.part_rates, now);
     }
     if (!received.suspects.empty())
     {
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -74,7 +74,7 @@
             core_.shares.record_served(workspace_id_, share_tokens(), now);
             counted_as_served_ = true;
         }
-        core_.placer.record_sent(id, metadata_.parts, workspace_id_, now);
+        core_.placer.record_sent(id, metadata_.parts, workspace_id_, now, placement.is_new_copy);
     }
     core_.slow_start.record_sent(placement.target, now);
     core_.health.record_sent(id, now);
--- a/src/libcaraway/routing/digest.cpp
+++ b/src/libcaraway/routing/digest.cpp
@@ -230,7 +230,12 @@
     auto out = json::array();
     for (const auto& each : rates)
     {
-        out.push_back({each.prefix, each.requests_per_second});
+        auto entry = json::array({each.prefix, each.requests_per_second});
+        if (each.holder != 0)
+        {
+            entry.push_back(each.holder);
+        }
+        out.push_back(std::move(entry));
     }
     return out;
 }
@@ -250,7 +255,10 @@
         if (is_rate && rates.size() < max_part_rates)
         {
             rates.push_back({.prefix = each[0].get<std::uint64_t>(),
-                             .requests_per_second = each[1].get<double>()});
+                             .requests_per_second = each[1].get<double>(),
+                             .holder = each.size() > 2 && each[2].is_number_unsigned()
+                                           ? each[2].get<std::uint64_t>()
+                                           : 0});
         }
     }
     return rates;
--- a/src/libcaraway/routing/parts/part_heat.cpp
+++ b/src/libcaraway/routing/parts/part_heat.cpp
@@ -151,6 +151,11 @@
     peer_rates accepted{.received = now};
     std::copy_if(rates.begin(), rates.end(), std::back_inserter(accepted.rates),
                  [](const auto& each) { return is_rate(each.requests_per_second); });
+    // Most digests tell of no rates.
+    if (accepted.rates.empty())
+    {
+        return;
+    }
     keep_highest(accepted.rates, options_.max_received);
     for (auto& each : accepted.rates)
     {
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -1,5 +1,7 @@
 #include "libcaraway/routing/placer.hpp"
 
+#include "libcaraway/scheduling/stable_hash.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -10,9 +12,6 @@
 namespace
 {
 
-/// Parts recorded per upstream before expired ones are removed; the cache of an engine holds fewer.
-constexpr std::size_t max_recorded_parts = 2048;
-
 std::uint32_t shared_tokens(const placement_request& request)
 {
     std::uint32_t tokens = 0;
@@ -86,6 +85,12 @@
 
 }  // namespace
 
+bool placer::is_worth_copying(const candidate& chosen, std::uint32_t shared) const
+{
+    return shared * chosen.estimate.prefill_ms_per_token >
+           static_cast<double>(options_.min_transfer_gain.count());
+}
+
 const char* name(held_copy copy)
 {
     switch (copy)
@@ -133,6 +138,8 @@
     out.copy = copy_at(context, *best);
     out.shared_tokens = context.shared;
     out.cached_tokens = best->cached;
+    out.is_new_copy = out.copy != held_copy::no_parts && out.copy != held_copy::home &&
+                      out.copy != held_copy::sent_before && is_worth_copying(*best, context.shared);
     if (const auto* source = find_cache_source(context, *best))
     {
         out.cache_source = *source;
@@ -203,7 +210,7 @@
     }
     const auto& homes = context.homes;
     considered.cached =
-        cached_tokens(target.id, request, homes.prefixes, homes.depth(index), context.now);
+        cached_tokens(target, request, homes.prefixes, homes.depth(index), context.now);
     const bool at_further_home = homes.is_further_home(index);
     if (context.shared - considered.cached > request.max_repeated_tokens && !at_further_home)
     {
@@ -247,8 +254,8 @@
                                                                   : held_copy::none;
 }
 
-/// Of several homes, those before the chosen one in the part's order are asked in turn, so that
-/// copies spread like a tree; those that this router sent the part to are surest to hold it.
+/// The upstreams known to have read the last shared part are surest to hold it. Without any, the
+/// homes before the chosen one in the part's order are asked, so that copies spread like a tree.
 const upstream* placer::find_cache_source(const search_context& context,
                                           const candidate& chosen) const
 {
@@ -264,50 +271,65 @@
     {
         return nullptr;
     }
-    std::vector<const upstream*> sources;
-    std::vector<const upstream*> sure_sources;
-    const auto add = [&](std::size_t home)
-    {
-        const auto* source = context.candidates[home];
-        if (source == chosen.target)
-        {
-            return false;
-        }
-        if (may_hold(context, *source, *chosen.target))
-        {
-            sources.push_back(source);
-            if (was_sent(source->id, homes.prefixes.back(), context.now))
-            {
-                sure_sources.push_back(source);
-            }
-        }
-        return true;
-    };
-    bool is_before_chosen = add(homes.homes.back());
-    for (std::size_t copy = 0; is_before_chosen && copy < homes.copies.size(); ++copy)
+    auto sources = known_holders(context, chosen);
+    if (sources.empty())
     {
-        is_before_chosen = add(homes.copies[copy]);
+        sources = earlier_homes(context, chosen);
     }
-    const auto& choices = sure_sources.empty() ? sources : sure_sources;
-    if (choices.empty())
+    if (sources.empty())
     {
         return nullptr;
     }
     const auto index =
-        static_cast<std::size_t>(context.request.random_unit * static_cast<double>(choices.size()));
-    return choices[std::min(index, choices.size() - 1)];
+        static_cast<std::size_t>(context.request.random_unit * static_cast<double>(sources.size()));
+    return sources[std::min(index, sources.size() - 1)];
+}
+
+std::vector<const upstream*> placer::known_holders(const search_context& context,
+                                                   const candidate& chosen) const
+{
+    std::vector<const upstream*> holders;
+    for (const auto* each : context.candidates)
+    {
+        if (each != chosen.target &&
+            copies_.has_read(each->hash, context.homes.prefixes.back(), context.now) &&
+            may_hold(context, *each, *chosen.target))
+        {
+            holders.push_back(each);
+        }
+    }
+    return holders;
+}
+
+std::vector<const upstream*> placer::earlier_homes(const search_context& context,
+                                                   const candidate& chosen) const
+{
+    auto order = context.homes.copies;
+    order.insert(order.begin(), context.homes.homes.back());
+    std::vector<const upstream*> earlier;
+    for (const auto home : order)
+    {
+        const auto* each = context.candidates[home];
+        if (each == chosen.target)
+        {
+            break;
+        }
+        if (may_hold(context, *each, *chosen.target))
+        {
+            earlier.push_back(each);
+        }
+    }
+    return earlier;
 }
 
-/// A further home of a hot part is assumed to hold it as soon as it is one, but may not have read
-/// it yet.
+/// A home is assumed to hold its parts, but may not have read them: the first requests may have
+/// gone elsewhere, as it was busy, or it may have become a home just now.
 std::uint32_t placer::possibly_missing(const search_context& context, const candidate& chosen) const
 {
-    const auto& homes = context.homes;
-    const bool is_new_copy =
-        std::any_of(homes.copies.begin(), homes.copies.end(),
-                    [&](std::size_t copy) { return context.candidates[copy] == chosen.target; }) &&
-        !was_sent(chosen.target->id, homes.prefixes.back(), context.now);
-    return is_new_copy ? context.shared : context.shared - chosen.cached;
+    const bool is_assumed =
+        chosen.cached == context.shared &&
+        !copies_.holds(chosen.target->hash, context.homes.prefixes.back(), context.now);
+    return is_assumed ? context.shared : context.shared - chosen.cached;
 }
 
 bool placer::may_hold(const search_context& context, const upstream& source,
@@ -320,49 +342,30 @@
             !request.cold_upstreams->is_cold(source.id, context.now));
 }
 
-bool placer::was_sent(const base::upstream_id& id, std::uint64_t prefix, base::time_point now) const
-{
-    const auto found = cached_parts_.find(id);
-    if (found == cached_parts_.end())
-    {
-        return false;
-    }
-    const auto sent = found->second.find(prefix);
-    return sent != found->second.end() && sent->second + options_.part_lifetime > now;
-}
-
 void placer::record_sent(const base::upstream_id& id, const std::vector<prompt_part>& prompt,
-                         const base::workspace_id& workspace, base::time_point now)
+                         const base::workspace_id& workspace, base::time_point now,
+                         bool is_new_copy)
 {
     const auto prefixes = parts::shared_prefix_hashes(prompt);
     homes_.record_use(prefixes, workspace, now);
-    auto& recorded = cached_parts_[id];
-    if (recorded.size() > max_recorded_parts)
-    {
-        std::erase_if(recorded, [&](const auto& entry)
-                      { return entry.second + options_.part_lifetime <= now; });
-    }
-    for (const auto prefix : prefixes)
+    const auto hash = scheduling::stable_hash(id.str());
+    copies_.record_sent(hash, prefixes, now);
+    if (is_new_copy && !prefixes.empty())
     {
-        recorded[prefix] = now;
+        copies_.announce(hash, prefixes.back(), now);
     }
 }
 
-std::uint32_t placer::cached_tokens(const base::upstream_id& id, const placement_request& request,
+void placer::forget(const base::upstream_id& id)
+{
+    copies_.forget(scheduling::stable_hash(id.str()));
+}
+
+std::uint32_t placer::cached_tokens(const upstream& target, const placement_request& request,
                                     const std::vector<std::uint64_t>& prefixes,
                                     std::size_t home_depth, base::time_point now) const
 {
-    const auto found = cached_parts_.find(id);
-    std::size_t depth = home_depth;
-    for (std::size_t part = home_depth; found != cached_parts_.end() && part < prefixes.size();
-         ++part)
-    {
-        const auto known = found->second.find(prefixes[part]);
-        if (known != found->second.end() && known->second + options_.part_lifetime > now)
-        {
-            depth = part + 1;
-        }
-    }
+    const auto depth = std::max(home_depth, copies_.depth(target.hash, prefixes, now));
     std::uint32_t tokens = 0;
     for (std::size_t part = 0; part < depth; ++part)
     {
--- a/src/libcaraway/routing/placer.hpp
+++ b/src/libcaraway/routing/placer.hpp
@@ -4,13 +4,13 @@
 #include "libcaraway/routing/engines/engine_view.hpp"
 #include "libcaraway/routing/engines/load_tracker.hpp"
 #include "libcaraway/routing/engines/slow_start.hpp"
+#include "libcaraway/routing/parts/part_copies.hpp"
 #include "libcaraway/routing/parts/part_homes.hpp"
 #include "libcaraway/routing/upstream_directory.hpp"
 #include "libcaraway/scheduling/upstream_health.hpp"
 
 #include <limits>
 #include <optional>
-#include <unordered_map>
 
 namespace caraway::routing
 {
@@ -38,9 +38,8 @@
     /// larger services, the homes of the request and `sample_size` others are compared.
     std::size_t max_full_scan = 256;
     std::size_t sample_size = 96;
-    /// How long a part is assumed to stay in an engine's cache after a request that contains it.
-    std::chrono::milliseconds part_lifetime{20000};
     parts::part_home_options homes;
+    parts::part_copy_options copies;
 };
 
 /// A request to be placed, and the limits that apply to it.
@@ -94,6 +93,8 @@
 {
     upstream target;
     held_copy copy = held_copy::no_parts;
+    /// Peers should learn that the target holds the shared parts.
+    bool is_new_copy = false;
     /// Tokens of the prompt's shared parts, and those that the target is assumed to have.
     std::uint32_t shared_tokens = 0;
     std::uint32_t cached_tokens = 0;
@@ -131,19 +132,22 @@
                                     const scheduling::upstream_health& health,
                                     const engines::engine_view& engines, base::time_point now);
     /// Records that a request of the workspace with these parts was sent to the upstream, which
-    /// will have its shared parts cached.
+    /// will have its shared parts cached. `is_new_copy`: peers should learn of it.
     void record_sent(const base::upstream_id& id, const std::vector<prompt_part>& prompt,
-                     const base::workspace_id& workspace, base::time_point now);
+                     const base::workspace_id& workspace, base::time_point now,
+                     bool is_new_copy = false);
     /// The homes of shared parts, and how much these are used.
     parts::part_homes& homes()
     {
         return homes_;
     }
-    /// Drops what is recorded of the cache of an upstream, after its process was replaced.
-    void forget(const base::upstream_id& id)
+    /// Upstreams that hold shared parts besides the parts' homes.
+    parts::part_copies& copies()
     {
-        cached_parts_.erase(id);
+        return copies_;
     }
+    /// Drops what is recorded of the cache of an upstream, after its process was replaced.
+    void forget(const base::upstream_id& id);
 
 private:
     /// An upstream that has room for the request, with the estimates that its cost is made of.
@@ -161,10 +165,7 @@
         double repeated = 0;
     };
 
-    /// By the hash of a part with all parts before it: when it was last sent.
-    using part_times = std::unordered_map<std::uint64_t, base::time_point>;
-
-    std::uint32_t cached_tokens(const base::upstream_id& id, const placement_request& request,
+    std::uint32_t cached_tokens(const upstream& target, const placement_request& request,
                                 const std::vector<std::uint64_t>& prefixes, std::size_t home_depth,
                                 base::time_point now) const;
     /// Inputs of one choice, which are the same for all candidates.
@@ -196,18 +197,23 @@
     /// Returns the engine that should transfer the shared parts that the chosen one lacks, or null
     /// if prefilling them is about as fast or no engine can transfer them.
     const upstream* find_cache_source(const search_context& context, const candidate& chosen) const;
+    bool is_worth_copying(const candidate& chosen, std::uint32_t shared) const;
+    /// Upstreams that are known to have read the last shared part.
+    std::vector<const upstream*> known_holders(const search_context& context,
+                                               const candidate& chosen) const;
+    /// The homes of the last shared part before the chosen upstream; all if it is none.
+    std::vector<const upstream*> earlier_homes(const search_context& context,
+                                               const candidate& chosen) const;
     /// Tokens of shared parts that the chosen upstream may lack.
     std::uint32_t possibly_missing(const search_context& context, const candidate& chosen) const;
     bool may_hold(const search_context& context, const upstream& source,
                   const upstream& chosen) const;
-    /// Whether this router sent the part to the upstream within its lifetime there.
-    bool was_sent(const base::upstream_id& id, std::uint64_t prefix, base::time_point now) const;
     double cost(const candidate& rated, const placement_request& request) const;
     placement make_placement(const candidate& chosen, const placement_request& request) const;
 
     placement_options options_;
     parts::part_homes homes_;
-    std::unordered_map<base::upstream_id, part_times> cached_parts_;
+    parts::part_copies copies_;
 };
 
 }  // namespace caraway::routing
