--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -265,6 +265,11 @@
     {
         core_.engines.merge_peer(received.paces, now);
     }
+    if (!received.part_rates.empty())
+    {
+        core_.placer.homes().heat().set_peer(received.sender, received.part_rates, now);
+        core_.placer.copies().merge(received.part_rates, now);
+    }
     if (!received.suspects.empty())
     {
         core_.crashes.merge(received.suspects, now);
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -214,6 +214,12 @@
         line.add("wait_ms", last_placement_->wait.count());
         line.add("unread", last_placement_->load.pending_prefill_tokens);
         line.add("running", last_placement_->running);
+        if (last_placement_->copy != routing::held_copy::no_parts)
+        {
+            line.add("copy", routing::name(last_placement_->copy));
+            line.add("shared", last_placement_->shared_tokens);
+            line.add("cached", last_placement_->cached_tokens);
+        }
         if (last_placement_->cache_source)
         {
             line.add("fetched_from", last_placement_->cache_source->id.str());
--- a/src/libcaraway/routing/digest.cpp
+++ b/src/libcaraway/routing/digest.cpp
@@ -129,9 +129,13 @@
     out.array(rates.size());
     for (const auto& each : rates)
     {
-        out.array(2);
+        out.array(each.holder == 0 ? 2 : 3);
         out.unsigned_integer(each.prefix);
         out.real(each.requests_per_second);
+        if (each.holder != 0)
+        {
+            out.unsigned_integer(each.holder);
+        }
     }
 }
 
--- a/src/libcaraway/routing/digest_decode.cpp
+++ b/src/libcaraway/routing/digest_decode.cpp
@@ -3,12 +3,17 @@
 #include "libcaraway/routing/digest.hpp"
 #include "libcaraway/routing/digest_format.hpp"
 
+#include <optional>
+
 namespace caraway::routing
 {
 
 namespace
 {
 
+/// Routers send fewer.
+constexpr std::size_t max_part_rates = 256;
+
 template <class Id>
 Id read_id(cbor_reader& in)
 {
@@ -177,14 +182,40 @@
         in, 3, [&] { return engines::pace_record{.milliseconds = in.real(), .units = in.real()}; });
 }
 
+/// Empty, and the entry is skipped, if it is of another form.
+std::optional<parts::part_rate> read_part_rate(cbor_reader& in)
+{
+    constexpr std::uint64_t without_holder = 2;
+    auto entry = in;
+    in.skip();
+    const auto size = entry.array(without_holder);
+    parts::part_rate rate{.prefix = entry.integer<std::uint64_t>(),
+                          .requests_per_second = entry.real()};
+    if (entry.failed())
+    {
+        return std::nullopt;
+    }
+    if (size > without_holder)
+    {
+        rate.holder = entry.integer<std::uint64_t>();
+    }
+    return rate;
+}
+
+/// Entries of another form are left out: the digest is of use without them.
 std::vector<parts::part_rate> read_part_rates(cbor_reader& in)
 {
     std::vector<parts::part_rate> rates;
-    read_entries(in, 2,
-                 [&] {
-                     rates.push_back(
-                         {.prefix = in.integer<std::uint64_t>(), .requests_per_second = in.real()});
-                 });
+    auto entries = in;
+    in.skip();
+    const auto count = entries.array();
+    for (std::uint64_t index = 0; index < count && rates.size() < max_part_rates; ++index)
+    {
+        if (const auto rate = read_part_rate(entries))
+        {
+            rates.push_back(*rate);
+        }
+    }
     return rates;
 }
 
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -1,5 +1,7 @@
 #include "libcaraway/routing/placer.hpp"
 
+#include "libcaraway/scheduling/stable_hash.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -10,9 +12,6 @@
 namespace
 {
 
-/// Parts recorded per upstream before expired ones are removed; the cache of an engine holds fewer.
-constexpr std::size_t max_recorded_parts = 2048;
-
 std::uint32_t shared_tokens(const placement_request& request)
 {
     std::uint32_t tokens = 0;
@@ -58,9 +57,61 @@
         static_cast<double>(total.pending_prefill_tokens) * ms_per_token));
 }
 
+parts::prompt_homes find_homes(parts::part_homes& homes, const placement_request& request,
+                               const std::vector<const upstream*>& candidates,
+                               const engines::engine_view& engines,
+                               const placement_options& options, base::time_point now)
+{
+    const auto& engine = request.requested_service->engine;
+    if (!engine || candidates.empty())
+    {
+        return {};
+    }
+    const double read_ms =
+        shared_tokens(request) * engines.estimate(candidates.front()->id, now).prefill_ms_per_token;
+    const auto throughput = [&](const auto& id)
+    {
+        return engines.relative_throughput(id);
+    };
+    return homes.find(
+        {.prompt = request.parts,
+         .candidates = candidates,
+         .relative_throughput = throughput,
+         .slots = engine->slots,
+         .zone = options.zone,
+         .worth_copies = read_ms > static_cast<double>(options.min_transfer_gain.count())},
+        now);
+}
+
 }  // namespace
 
-placer::placer(placement_options options) : options_(std::move(options)) {}
+bool placer::is_worth_copying(const candidate& chosen, std::uint32_t shared) const
+{
+    return shared * chosen.estimate.prefill_ms_per_token >
+           static_cast<double>(options_.min_transfer_gain.count());
+}
+
+const char* name(held_copy copy)
+{
+    switch (copy)
+    {
+    case held_copy::no_parts:
+        return "no_parts";
+    case held_copy::home:
+        return "home";
+    case held_copy::further_copy:
+        return "further_copy";
+    case held_copy::overflow:
+        return "overflow";
+    case held_copy::sent_before:
+        return "sent_before";
+    case held_copy::none:
+        return "none";
+    }
+    return "none";
+}
+
+placer::placer(placement_options options) : options_(std::move(options)), homes_(options_.homes) {}
 
 std::optional<placement> placer::choose(const placement_request& request,
                                         const upstream_directory& directory,
@@ -76,9 +127,7 @@
         .health = health,
         .engines = engines,
         .now = now,
-        .homes = homes_.find(
-            request.requested_service->engine ? request.parts : nullptr, candidates,
-            [&](const auto& id) { return engines.relative_throughput(id); }, now),
+        .homes = find_homes(homes_, request, candidates, engines, options_, now),
         .shared = shared_tokens(request)};
     const auto best = cheapest(context);
     if (!best)
@@ -86,10 +135,12 @@
         return std::nullopt;
     }
     auto out = make_placement(*best, request);
-    const auto& homes = context.homes.homes;
-    const auto* home = homes.empty() ? nullptr : context.candidates[homes.back()];
-    if (const auto* source =
-            find_cache_source(*best, home, request, context.shared - best->cached, health, now))
+    out.copy = copy_at(context, *best);
+    out.shared_tokens = context.shared;
+    out.cached_tokens = best->cached;
+    out.is_new_copy = out.copy != held_copy::no_parts && out.copy != held_copy::home &&
+                      out.copy != held_copy::sent_before && is_worth_copying(*best, context.shared);
+    if (const auto* source = find_cache_source(context, *best))
     {
         out.cache_source = *source;
     }
@@ -110,6 +161,10 @@
         {
             consider(context, home, result);
         }
+        for (const auto home : context.homes.copies)
+        {
+            consider(context, home, result);
+        }
         for (const auto home : context.homes.further_homes)
         {
             consider(context, home, result);
@@ -156,7 +211,7 @@
     }
     const auto& homes = context.homes;
     considered.cached =
-        cached_tokens(target.id, request, homes.prefixes, homes.depth(index), context.now);
+        cached_tokens(target, request, homes.prefixes, homes.depth(index), context.now);
     const bool at_further_home = homes.is_further_home(index);
     if (context.shared - considered.cached > request.max_repeated_tokens && !at_further_home)
     {
@@ -172,59 +227,146 @@
     }
 }
 
-const upstream* placer::find_cache_source(const candidate& chosen, const upstream* home,
-                                          const placement_request& request, std::uint32_t missing,
-                                          const scheduling::upstream_health& health,
-                                          base::time_point now) const
+held_copy placer::copy_at(const search_context& context, const candidate& chosen)
 {
-    const bool may_hold =
-        home != nullptr && home != chosen.target && !was_tried(request, home->id) &&
-        home->software == chosen.target->software && !health.excluded(home->id, now) &&
-        (request.cold_upstreams == nullptr || !request.cold_upstreams->is_cold(home->id, now));
-    const auto transfer_ms_per_token =
-        request.requested_service->engine
-            ? request.requested_service->engine->transfer_per_token.count()
-            : 0;
-    if (!may_hold || transfer_ms_per_token <= 0)
+    const auto& homes = context.homes;
+    if (homes.homes.empty())
     {
-        return nullptr;
+        return held_copy::no_parts;
+    }
+    const auto is_chosen = [&](std::size_t home)
+    {
+        return context.candidates[home] == chosen.target;
+    };
+    if (is_chosen(homes.homes.back()))
+    {
+        return held_copy::home;
+    }
+    if (std::any_of(homes.copies.begin(), homes.copies.end(), is_chosen))
+    {
+        return held_copy::further_copy;
+    }
+    if (chosen.cached >= context.shared)
+    {
+        return held_copy::sent_before;
     }
-    const double gain = missing * (chosen.estimate.prefill_ms_per_token - transfer_ms_per_token);
-    return gain > static_cast<double>(options_.min_transfer_gain.count()) ? home : nullptr;
+    const auto& further = homes.further_homes;
+    return std::any_of(further.begin(), further.end(), is_chosen) ? held_copy::overflow
+                                                                  : held_copy::none;
 }
 
-void placer::record_sent(const base::upstream_id& id, const std::vector<prompt_part>& prompt,
-                         base::time_point now)
+/// The upstreams known to have read the last shared part are surest to hold it. Without any, the
+/// homes before the chosen one in the part's order are asked, so that copies spread like a tree.
+const upstream* placer::find_cache_source(const search_context& context,
+                                          const candidate& chosen) const
 {
-    homes_.record_use(prompt, now);
-    auto& recorded = cached_parts_[id];
-    if (recorded.size() > max_recorded_parts)
+    const auto& homes = context.homes;
+    const auto& engine = context.request.requested_service->engine;
+    if (homes.homes.empty() || !engine || engine->transfer_per_token.count() <= 0)
     {
-        std::erase_if(recorded, [&](const auto& entry)
-                      { return entry.second + options_.part_lifetime <= now; });
+        return nullptr;
+    }
+    const double gain = possibly_missing(context, chosen) *
+                        (chosen.estimate.prefill_ms_per_token - engine->transfer_per_token.count());
+    if (gain <= static_cast<double>(options_.min_transfer_gain.count()))
+    {
+        return nullptr;
     }
-    const auto prefixes = parts::prefix_hashes(prompt);
-    for (std::size_t depth = 0; depth + 1 < prefixes.size(); ++depth)
+    auto sources = known_holders(context, chosen);
+    if (sources.empty())
     {
-        recorded[prefixes[depth]] = now;
+        sources = earlier_homes(context, chosen);
     }
+    if (sources.empty())
+    {
+        return nullptr;
+    }
+    const auto index =
+        static_cast<std::size_t>(context.request.random_unit * static_cast<double>(sources.size()));
+    return sources[std::min(index, sources.size() - 1)];
 }
 
-std::uint32_t placer::cached_tokens(const base::upstream_id& id, const placement_request& request,
-                                    const std::vector<std::uint64_t>& prefixes,
-                                    std::size_t home_depth, base::time_point now) const
+std::vector<const upstream*> placer::known_holders(const search_context& context,
+                                                   const candidate& chosen) const
+{
+    std::vector<const upstream*> holders;
+    for (const auto* each : context.candidates)
+    {
+        if (each != chosen.target &&
+            copies_.has_read(each->hash, context.homes.prefixes.back(), context.now) &&
+            may_hold(context, *each, *chosen.target))
+        {
+            holders.push_back(each);
+        }
+    }
+    return holders;
+}
+
+std::vector<const upstream*> placer::earlier_homes(const search_context& context,
+                                                   const candidate& chosen) const
 {
-    const auto found = cached_parts_.find(id);
-    std::size_t depth = home_depth;
-    for (std::size_t part = home_depth; found != cached_parts_.end() && part < prefixes.size();
-         ++part)
+    auto order = context.homes.copies;
+    order.insert(order.begin(), context.homes.homes.back());
+    std::vector<const upstream*> earlier;
+    for (const auto home : order)
     {
-        const auto known = found->second.find(prefixes[part]);
-        if (known != found->second.end() && known->second + options_.part_lifetime > now)
+        const auto* each = context.candidates[home];
+        if (each == chosen.target)
+        {
+            break;
+        }
+        if (may_hold(context, *each, *chosen.target))
         {
-            depth = part + 1;
+            earlier.push_back(each);
         }
     }
+    return earlier;
+}
+
+/// A home is assumed to hold its parts, but may not have read them: the first requests may have
+/// gone elsewhere, as it was busy, or it may have become a home just now.
+std::uint32_t placer::possibly_missing(const search_context& context, const candidate& chosen) const
+{
+    const bool is_assumed =
+        chosen.cached == context.shared &&
+        !copies_.holds(chosen.target->hash, context.homes.prefixes.back(), context.now);
+    return is_assumed ? context.shared : context.shared - chosen.cached;
+}
+
+bool placer::may_hold(const search_context& context, const upstream& source,
+                      const upstream& chosen) const
+{
+    const auto& request = context.request;
+    return !was_tried(request, source.id) && source.software == chosen.software &&
+           !context.health.excluded(source.id, context.now) &&
+           (request.cold_upstreams == nullptr ||
+            !request.cold_upstreams->is_cold(source.id, context.now));
+}
+
+void placer::record_sent(const base::upstream_id& id, const std::vector<prompt_part>& prompt,
+                         const base::workspace_id& workspace, base::time_point now,
+                         bool is_new_copy)
+{
+    const auto prefixes = parts::shared_prefix_hashes(prompt);
+    homes_.record_use(prefixes, workspace, now);
+    const auto hash = scheduling::stable_hash(id.str());
+    copies_.record_sent(hash, prefixes, now);
+    if (is_new_copy && !prefixes.empty())
+    {
+        copies_.announce(hash, prefixes.back(), now);
+    }
+}
+
+void placer::forget(const base::upstream_id& id)
+{
+    copies_.forget(scheduling::stable_hash(id.str()));
+}
+
+std::uint32_t placer::cached_tokens(const upstream& target, const placement_request& request,
+                                    const std::vector<std::uint64_t>& prefixes,
+                                    std::size_t home_depth, base::time_point now) const
+{
+    const auto depth = std::max(home_depth, copies_.depth(target.hash, prefixes, now));
     std::uint32_t tokens = 0;
     for (std::size_t part = 0; part < depth; ++part)
     {
--- a/src/libcaraway/routing/placer.hpp
+++ b/src/libcaraway/routing/placer.hpp
@@ -4,13 +4,13 @@
 #include "libcaraway/routing/engines/engine_view.hpp"
 #include "libcaraway/routing/engines/load_tracker.hpp"
 #include "libcaraway/routing/engines/slow_start.hpp"
+#include "libcaraway/routing/parts/part_copies.hpp"
 #include "libcaraway/routing/parts/part_homes.hpp"
 #include "libcaraway/routing/upstream_directory.hpp"
 #include "libcaraway/scheduling/upstream_health.hpp"
 
 #include <limits>
 #include <optional>
-#include <unordered_map>
 
 namespace caraway::routing
 {
@@ -38,8 +38,8 @@
     /// larger services, the homes of the request and `sample_size` others are compared.
     std::size_t max_full_scan = 256;
     std::size_t sample_size = 96;
-    /// How long a part is assumed to stay in an engine's cache after a request that contains it.
-    std::chrono::milliseconds part_lifetime{20000};
+    parts::part_home_options homes;
+    parts::part_copy_options copies;
 };
 
 /// A request to be placed, and the limits that apply to it.
@@ -69,9 +69,35 @@
     std::uint32_t max_repeated_tokens = std::numeric_limits<std::uint32_t>::max();
 };
 
+/// Why an upstream is assumed to have the shared parts of a prompt, or a part of them.
+enum class held_copy
+{
+    /// The prompt has no shared parts.
+    no_parts,
+    /// It is the first home of the last shared part.
+    home,
+    /// It is another home of a hot part.
+    further_copy,
+    /// Requests overflow to it from the homes.
+    overflow,
+    /// This router sent it the parts before.
+    sent_before,
+    /// It isn't assumed to have all of them.
+    none,
+};
+
+/// The name of the copy in log lines.
+const char* name(held_copy copy);
+
 struct placement
 {
     upstream target;
+    held_copy copy = held_copy::no_parts;
+    /// Peers should learn that the target holds the shared parts.
+    bool is_new_copy = false;
+    /// Tokens of the prompt's shared parts, and those that the target is assumed to have.
+    std::uint32_t shared_tokens = 0;
+    std::uint32_t cached_tokens = 0;
     /// Load that the request adds to the target.
     engines::upstream_load load;
     /// Engine from which the target should fetch the shared parts of the prompt that it lacks.
@@ -105,15 +131,23 @@
                                     const engines::load_tracker& board,
                                     const scheduling::upstream_health& health,
                                     const engines::engine_view& engines, base::time_point now);
-    /// Records that a request with these parts was sent to the upstream, which will have its shared
-    /// parts cached.
+    /// Records that a request of the workspace with these parts was sent to the upstream, which
+    /// will have its shared parts cached. `is_new_copy`: peers should learn of it.
     void record_sent(const base::upstream_id& id, const std::vector<prompt_part>& prompt,
-                     base::time_point now);
-    /// Drops what is recorded of the cache of an upstream, after its process was replaced.
-    void forget(const base::upstream_id& id)
+                     const base::workspace_id& workspace, base::time_point now,
+                     bool is_new_copy = false);
+    /// The homes of shared parts, and how much these are used.
+    parts::part_homes& homes()
     {
-        cached_parts_.erase(id);
+        return homes_;
     }
+    /// Upstreams that hold shared parts besides the parts' homes.
+    parts::part_copies& copies()
+    {
+        return copies_;
+    }
+    /// Drops what is recorded of the cache of an upstream, after its process was replaced.
+    void forget(const base::upstream_id& id);
 
 private:
     /// An upstream that has room for the request, with the estimates that its cost is made of.
@@ -131,10 +165,7 @@
         double repeated = 0;
     };
 
-    /// By the hash of a part with all parts before it: when it was last sent.
-    using part_times = std::unordered_map<std::uint64_t, base::time_point>;
-
-    std::uint32_t cached_tokens(const base::upstream_id& id, const placement_request& request,
+    std::uint32_t cached_tokens(const upstream& target, const placement_request& request,
                                 const std::vector<std::uint64_t>& prefixes, std::size_t home_depth,
                                 base::time_point now) const;
     /// Inputs of one choice, which are the same for all candidates.
@@ -162,18 +193,27 @@
     void consider(const search_context& context, std::size_t index, search_result& result) const;
     bool has_room(const search_context& context, const upstream& target,
                   const engines::known_load& load) const;
+    static held_copy copy_at(const search_context& context, const candidate& chosen);
     /// Returns the engine that should transfer the shared parts that the chosen one lacks, or null
     /// if prefilling them is about as fast or no engine can transfer them.
-    const upstream* find_cache_source(const candidate& chosen, const upstream* home,
-                                      const placement_request& request, std::uint32_t missing,
-                                      const scheduling::upstream_health& health,
-                                      base::time_point now) const;
+    const upstream* find_cache_source(const search_context& context, const candidate& chosen) const;
+    bool is_worth_copying(const candidate& chosen, std::uint32_t shared) const;
+    /// Upstreams that are known to have read the last shared part.
+    std::vector<const upstream*> known_holders(const search_context& context,
+                                               const candidate& chosen) const;
+    /// The homes of the last shared part before the chosen upstream; all if it is none.
+    std::vector<const upstream*> earlier_homes(const search_context& context,
+                                               const candidate& chosen) const;
+    /// Tokens of shared parts that the chosen upstream may lack.
+    std::uint32_t possibly_missing(const search_context& context, const candidate& chosen) const;
+    bool may_hold(const search_context& context, const upstream& source,
+                  const upstream& chosen) const;
     double cost(const candidate& rated, const placement_request& request) const;
     placement make_placement(const candidate& chosen, const placement_request& request) const;
 
     placement_options options_;
     parts::part_homes homes_;
-    std::unordered_map<base::upstream_id, part_times> cached_parts_;
+    parts::part_copies copies_;
 };
 
 }  // namespace caraway::routing
