--- a/tests/users_platform/test_forwarded_requests.cpp
+++ b/tests/users_platform/test_forwarded_requests.cpp
@@ -36,12 +36,11 @@
     return head;
 }
 
-const router::forward_options options{
-    .instance = base::upstream_id("i-1"),
-    .time_left = 1234ms,
-    .workspace = base::workspace_id("north"),
-    .fetch_from = routing::endpoint{.ip = "10.0.0.9", .port = 80},
-    .resume_after = 7};
+const router::forward_options options{.instance = base::upstream_id("i-1"),
+                                      .time_left = 1234ms,
+                                      .workspace = base::workspace_id("north"),
+                                      .fetch_from = routing::endpoint{.ip = "10.0.0.9", .port = 80},
+                                      .resume_after = 7};
 
 }  // namespace
 
