Shares: counting, peers' sums, allocation and reserve in modules of their own

workspace_shares held the sliding windows, the sums of peers, the max-min allocation and the reserve in one class of 531 lines with its header. Each is now a module in routing/shares/; workspace_shares joins them.

--- /dev/null
+++ b/src/libcaraway/routing/shares/usage_windows.cpp
@@ -0,0 +1,84 @@
+#include "libcaraway/routing/shares/usage_windows.hpp"
+
+#include <algorithm>
+
+namespace caraway::routing::shares
+{
+
+void usage_windows::set_window(std::chrono::milliseconds window)
+{
+    if (window == window_)
+    {
+        return;
+    }
+    window_ = window;
+    by_workspace_.clear();
+}
+
+double usage_windows::window_seconds() const
+{
+    return std::chrono::duration<double>(window_).count();
+}
+
+workspace_usage& usage_windows::current(const base::workspace_id& id, base::time_point now)
+{
+    auto& counts = by_workspace_[id];
+    const auto number = bucket_number(now);
+    advance(counts, number);
+    return counts.buckets[static_cast<std::size_t>(number) % bucket_count];
+}
+
+workspace_usages usage_windows::totals(base::time_point now)
+{
+    workspace_usages usages;
+    for (auto entry = by_workspace_.begin(); entry != by_workspace_.end();)
+    {
+        const auto usage = total(entry->second, now);
+        if (usage.demanded == 0 && usage.served == 0)
+        {
+            entry = by_workspace_.erase(entry);
+            continue;
+        }
+        usages[entry->first] = usage;
+        ++entry;
+    }
+    return usages;
+}
+
+std::int64_t usage_windows::bucket_number(base::time_point now) const
+{
+    const base::duration bucket_length = window_ / static_cast<int>(bucket_count);
+    return now.time_since_epoch() / bucket_length;
+}
+
+workspace_usage usage_windows::total(sliding_window& counts, base::time_point now) const
+{
+    const auto newest = bucket_number(now);
+    advance(counts, newest);
+    workspace_usage sum;
+    for (std::size_t age = 0; age < bucket_count; ++age)
+    {
+        auto bucket = counts.buckets[(static_cast<std::size_t>(newest) - age) % bucket_count];
+        if (age >= refusal_buckets)
+        {
+            bucket.refused = 0;
+            bucket.held_by_engines = 0;
+        }
+        sum += bucket;
+    }
+    sum.served = std::max(0.0, sum.served);
+    return sum;
+}
+
+void usage_windows::advance(sliding_window& counts, std::int64_t bucket)
+{
+    const auto expired_buckets =
+        std::min<std::int64_t>(bucket - counts.newest_bucket, bucket_count);
+    for (std::int64_t step = 0; step < expired_buckets; ++step)
+    {
+        counts.buckets[static_cast<std::size_t>(bucket - step) % bucket_count] = {};
+    }
+    counts.newest_bucket = std::max(counts.newest_bucket, bucket);
+}
+
+}  // namespace caraway::routing::shares
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -7,42 +7,10 @@
 namespace caraway::routing
 {
 
-namespace
+workspace_shares::workspace_shares(share_options options) : options_(options), own_(options.window)
 {
-
-/// Returns the largest limit per workspace at which all demands, each cut to the limit, fit into
-/// `capacity`; infinite if all demands fit uncut.
-double max_min_fair_limit(std::vector<double> demands, double capacity)
-{
-    std::sort(demands.begin(), demands.end());
-    double remaining = capacity;
-    std::size_t remaining_demands = demands.size();
-    for (const double demand : demands)
-    {
-        const double even_limit = remaining / static_cast<double>(remaining_demands);
-        if (demand >= even_limit)
-        {
-            return even_limit;
-        }
-        remaining -= demand;
-        --remaining_demands;
-    }
-    return std::numeric_limits<double>::infinity();
 }
 
-}  // namespace
-
-workspace_usage& workspace_usage::operator+=(const workspace_usage& other)
-{
-    demanded += other.demanded;
-    served += other.served;
-    refused += other.refused;
-    held_by_engines += other.held_by_engines;
-    return *this;
-}
-
-workspace_shares::workspace_shares(share_options options) : options_(options) {}
-
 void workspace_shares::set_capacity(double tokens_per_second)
 {
     capacity_ = tokens_per_second;
@@ -50,25 +18,20 @@
 
 void workspace_shares::set_window(std::chrono::milliseconds window)
 {
-    if (window == options_.window)
-    {
-        return;
-    }
-    options_.window = window;
-    own_.clear();
+    own_.set_window(window);
 }
 
 void workspace_shares::record_demand(const base::workspace_id& id, double tokens,
                                      base::time_point now)
 {
-    current_bucket(id, now).demanded += tokens;
+    own_.current(id, now).demanded += tokens;
     fleet_usage_[id].demanded += tokens;
 }
 
 void workspace_shares::record_served(const base::workspace_id& id, double tokens,
                                      base::time_point now)
 {
-    current_bucket(id, now).served += tokens;
+    own_.current(id, now).served += tokens;
     fleet_usage_[id].served += tokens;
 }
 
@@ -77,7 +40,7 @@
 {
     // The service may have been counted in an earlier bucket, so this bucket can become negative.
     // The sum is negative only for a short time, as both buckets leave the window.
-    current_bucket(id, now).served -= tokens;
+    own_.current(id, now).served -= tokens;
     auto& usage = fleet_usage_[id];
     usage.served = std::max(0.0, usage.served - tokens);
 }
@@ -87,31 +50,19 @@
 {
     const double held = cause == refusal_cause::engines ? tokens : 0;
     const workspace_usage refusal{.refused = tokens, .held_by_engines = held};
-    current_bucket(id, now) += refusal;
+    own_.current(id, now) += refusal;
     fleet_usage_[id] += refusal;
 }
 
 void workspace_shares::set_peer(const base::node_id& peer, workspace_usages usages,
                                 base::time_point now)
 {
-    peers_[peer] = {.usages = std::move(usages), .received = now};
+    peers_.set(peer, std::move(usages), now);
 }
 
 workspace_usages workspace_shares::own_usages(base::time_point now)
 {
-    workspace_usages usages;
-    for (auto entry = own_.begin(); entry != own_.end();)
-    {
-        const auto usage = window_total(entry->second, now);
-        if (usage.demanded == 0 && usage.served == 0)
-        {
-            entry = own_.erase(entry);
-            continue;
-        }
-        usages[entry->first] = usage;
-        ++entry;
-    }
-    return usages;
+    return own_.totals(now);
 }
 
 double workspace_shares::share_used(const base::workspace_id& id, base::time_point now)
@@ -126,12 +77,13 @@
 
 double workspace_shares::excess_over_backlogged(const base::workspace_id& id) const
 {
-    if (!any_backlogged_)
+    if (!allocation_.any_backlogged)
     {
         return 0;
     }
-    return std::isinf(min_backlogged_served_) ? 1
-                                              : fleet_usage_.at(id).served / min_backlogged_served_;
+    return std::isinf(allocation_.min_backlogged_served)
+               ? 1
+               : fleet_usage_.at(id).served / allocation_.min_backlogged_served;
 }
 
 share_status workspace_shares::status(const base::workspace_id& id, bool resubmitted,
@@ -147,8 +99,8 @@
     }
     const auto& usage = fleet_usage_[id];
     const double counted = resubmitted ? std::max(usage.served, usage.demanded) : usage.served;
-    const double share_used = counted / even_share_;
-    const double attainable_used = counted / attainable_share_;
+    const double share_used = counted / allocation_.even_share;
+    const double attainable_used = counted / allocation_.attainable_share;
     const double beyond_attainable = (attainable_used - 1) / options_.full_yield_excess;
     double excess = share_used < 1 ? 0 : excess_over_backlogged(id);
     if (attainable_used < 1)
@@ -157,7 +109,7 @@
     }
     return {.share_used = share_used,
             .attainable_used = attainable_used,
-            .yield = reserve_ * std::clamp(beyond_attainable, 0.0, 1.0),
+            .yield = reserve_.value() * std::clamp(beyond_attainable, 0.0, 1.0),
             .excess_ratio = excess,
             .resubmitted = resubmitted};
 }
@@ -183,77 +135,15 @@
 
 share_basis workspace_shares::basis(base::time_point now)
 {
-    using std::chrono::milliseconds;
-    share_basis summary{.attainable_share = attainable_share_,
-                        .reserve = reserve_,
-                        .capacity =
-                            capacity_ * std::chrono::duration<double>(options_.window).count(),
-                        .even_share = even_share_,
-                        .backlogged = any_backlogged_,
-                        .min_backlogged_served = min_backlogged_served_};
-    for (const auto& [id, usage] : fleet_usage_)
-    {
-        summary.total += usage;
-    }
-    base::duration total_age{};
-    for (const auto& [peer, known] : peers_)
-    {
-        const auto age = now - known.received;
-        total_age += age;
-        summary.oldest_age =
-            std::max(summary.oldest_age, std::chrono::duration_cast<milliseconds>(age));
-    }
-    if (!peers_.empty())
-    {
-        summary.mean_age =
-            std::chrono::duration_cast<milliseconds>(total_age / static_cast<int>(peers_.size()));
-    }
-    return summary;
-}
-
-std::int64_t workspace_shares::bucket_number(base::time_point now) const
-{
-    const base::duration bucket_length = options_.window / static_cast<int>(bucket_count);
-    return now.time_since_epoch() / bucket_length;
-}
-
-workspace_usage& workspace_shares::current_bucket(const base::workspace_id& id,
-                                                  base::time_point now)
-{
-    auto& counts = own_[id];
-    const auto number = bucket_number(now);
-    advance(counts, number);
-    return counts.buckets[static_cast<std::size_t>(number) % bucket_count];
-}
-
-workspace_usage workspace_shares::window_total(sliding_window& counts, base::time_point now) const
-{
-    const auto newest = bucket_number(now);
-    advance(counts, newest);
-    workspace_usage total;
-    for (std::size_t age = 0; age < bucket_count; ++age)
-    {
-        auto bucket = counts.buckets[(static_cast<std::size_t>(newest) - age) % bucket_count];
-        if (age >= refusal_buckets)
-        {
-            bucket.refused = 0;
-            bucket.held_by_engines = 0;
-        }
-        total += bucket;
-    }
-    total.served = std::max(0.0, total.served);
-    return total;
-}
-
-void workspace_shares::advance(sliding_window& counts, std::int64_t bucket) const
-{
-    const auto expired_buckets =
-        std::min<std::int64_t>(bucket - counts.newest_bucket, bucket_count);
-    for (std::int64_t step = 0; step < expired_buckets; ++step)
-    {
-        counts.buckets[static_cast<std::size_t>(bucket - step) % bucket_count] = {};
-    }
-    counts.newest_bucket = std::max(counts.newest_bucket, bucket);
+    return {.attainable_share = allocation_.attainable_share,
+            .reserve = reserve_.value(),
+            .capacity = capacity_ * own_.window_seconds(),
+            .total = shares::sum_of(fleet_usage_),
+            .even_share = allocation_.even_share,
+            .backlogged = allocation_.any_backlogged,
+            .min_backlogged_served = allocation_.min_backlogged_served,
+            .mean_age = peers_.mean_age(now),
+            .oldest_age = peers_.oldest_age(now)};
 }
 
 void workspace_shares::allocate(base::time_point now)
@@ -261,56 +151,10 @@
     const auto elapsed = now - last_allocation_;
     last_allocation_ = now;
     fleet_usage_ = own_usages(now);
-    std::erase_if(peers_, [&](const auto& entry)
-                  { return entry.second.received + options_.peer_lifetime <= now; });
-    for (const auto& [peer, known] : peers_)
-    {
-        for (const auto& [id, usage] : known.usages)
-        {
-            fleet_usage_[id] += usage;
-        }
-    }
-    std::vector<double> demands;
-    workspace_usage total;
-    any_backlogged_ = false;
-    for (const auto& [id, usage] : fleet_usage_)
-    {
-        total += usage;
-        demands.push_back(usage.demanded);
-        any_backlogged_ = any_backlogged_ || is_backlogged(usage);
-    }
-    const double seconds = std::chrono::duration<double>(options_.window).count();
-    update_reserve(total, elapsed);
-    even_share_ = max_min_fair_limit(demands, capacity_ * seconds);
-    attainable_share_ = max_min_fair_limit(std::move(demands), std::max(1.0, total.served));
-    min_backlogged_served_ = std::numeric_limits<double>::infinity();
-    for (const auto& [id, usage] : fleet_usage_)
-    {
-        if (is_waiting(usage) && usage.demanded > even_share_)
-        {
-            min_backlogged_served_ = std::min(min_backlogged_served_, std::max(usage.served, 1.0));
-        }
-    }
-}
-
-void workspace_shares::update_reserve(const workspace_usage& total, base::duration elapsed)
-{
-    const double recent_served = std::max(1.0, refusal_span * total.served);
-    const double held = std::min(options_.max_held, total.held_by_engines / recent_served);
-    const double seconds = std::min(1.0, std::chrono::duration<double>(elapsed).count());
-    reserve_ += seconds * options_.reserve_gain * (held - options_.held_tolerated);
-    reserve_ = std::clamp(reserve_, 0.0, 1.0);
-}
-
-bool workspace_shares::is_backlogged(const workspace_usage& usage) const
-{
-    return usage.served < options_.backlogged_below * usage.demanded;
-}
-
-bool workspace_shares::is_waiting(const workspace_usage& usage) const
-{
-    const double tolerated = 1 - options_.backlogged_below;
-    return is_backlogged(usage) && usage.refused > tolerated * refusal_span * usage.demanded;
+    peers_.expire(options_.peer_lifetime, now);
+    peers_.add_to(fleet_usage_);
+    reserve_.update(shares::sum_of(fleet_usage_), elapsed, options_);
+    allocation_ = shares::allocate(fleet_usage_, capacity_ * own_.window_seconds(), options_);
 }
 
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/workspace_shares.hpp
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -2,30 +2,23 @@
 
 #include "libcaraway/base/clock.hpp"
 #include "libcaraway/base/ids.hpp"
+#include "libcaraway/routing/shares/allocation.hpp"
+#include "libcaraway/routing/shares/peer_usages.hpp"
+#include "libcaraway/routing/shares/share_options.hpp"
+#include "libcaraway/routing/shares/usage_windows.hpp"
+#include "libcaraway/routing/shares/workspace_usage.hpp"
+#include "libcaraway/routing/shares/yield_reserve.hpp"
 
 #include <algorithm>
-#include <array>
 #include <limits>
-#include <map>
 #include <vector>
 
 namespace caraway::routing
 {
 
-/// Tokens of one workspace's requests within the window, in the unit of the capacity.
-struct workspace_usage
-{
-    /// Requests that arrived.
-    double demanded = 0;
-    /// Requests that were sent to engines.
-    double served = 0;
-    /// Requests that were refused within the last second or so, rather than within the window.
-    double refused = 0;
-    /// Those of them that no engine had a place for on the terms of a workspace within its share.
-    double held_by_engines = 0;
-
-    workspace_usage& operator+=(const workspace_usage& other);
-};
+using shares::share_options;
+using shares::workspace_usage;
+using shares::workspace_usages;
 
 /// What kept a refused request from being placed.
 enum class refusal_cause
@@ -59,8 +52,6 @@
     }
 };
 
-using workspace_usages = std::map<base::workspace_id, workspace_usage>;
-
 /// A workspace's counts as seen by one router, for its log.
 struct workspace_view
 {
@@ -93,28 +84,6 @@
     std::chrono::milliseconds oldest_age{};
 };
 
-struct share_options
-{
-    /// Length of the sliding window over which demand and service are counted.
-    std::chrono::milliseconds window{4000};
-    /// Time after which the last counts of an unreachable router are dropped.
-    std::chrono::milliseconds peer_lifetime{4000};
-    /// Longest time for which an allocation is reused; computing one sorts all workspaces.
-    std::chrono::milliseconds refresh_interval{100};
-    /// A workspace is backlogged while it is served less than this fraction of its demand.
-    double backlogged_below = 0.92;
-    /// What engines hold up, as a fraction of what they serve: the reserve rises while it is more
-    /// than this, and falls while it is less, so that nothing stays reserved for nobody.
-    double held_tolerated = 0.05;
-    /// Largest such fraction that counts.
-    double max_held = 0.25;
-    /// Change of the reserve per second, by the difference of the two fractions.
-    double reserve_gain = 10;
-    /// A workspace yields by the whole reserve once it was served this much more than its
-    /// attainable share, as a fraction of it.
-    double full_yield_excess = 0.67;
-};
-
 /// Max-min fair shares of the capacity of all engines: a workspace that demands less than the even
 /// share gets all of its demand, the others get the even share. Counts this router's own requests
 /// and, from their digests, those of the other routers.
@@ -163,52 +132,17 @@
     share_basis basis(base::time_point now);
 
 private:
-    /// The window is dropped in buckets, so a count is at most an eighth of the window too old.
-    static constexpr std::size_t bucket_count = 8;
-    /// Buckets in which refusals count: 0.5 to 1 s of a window of 4 s. A workspace that waits is
-    /// refused once a second or more often; one that was refused earlier may be served by now.
-    static constexpr std::size_t refusal_buckets = 2;
-    /// Their part of the window.
-    static constexpr double refusal_span =
-        static_cast<double>(refusal_buckets) / static_cast<double>(bucket_count);
-
-    struct sliding_window
-    {
-        std::array<workspace_usage, bucket_count> buckets{};
-        std::int64_t newest_bucket = 0;
-    };
-
-    std::int64_t bucket_number(base::time_point now) const;
-    workspace_usage& current_bucket(const base::workspace_id& id, base::time_point now);
-    workspace_usage window_total(sliding_window& counts, base::time_point now) const;
-    void advance(sliding_window& counts, std::int64_t bucket) const;
     void allocate(base::time_point now);
-    void update_reserve(const workspace_usage& total, base::duration elapsed);
-    bool is_backlogged(const workspace_usage& usage) const;
-    /// Whether a backlogged workspace still waits, rather than having waited within the window.
-    bool is_waiting(const workspace_usage& usage) const;
     double excess_over_backlogged(const base::workspace_id& id) const;
 
-    struct peer_usages
-    {
-        workspace_usages usages;
-        base::time_point received{};
-    };
-
     share_options options_;
     double capacity_ = 0;
-    std::map<base::workspace_id, sliding_window> own_;
-    std::map<base::node_id, peer_usages> peers_;
+    shares::usage_windows own_;
+    shares::peer_usages peers_;
     /// Usage of the whole fleet as of the last allocation, plus this router's changes since then.
     workspace_usages fleet_usage_;
-    double even_share_ = 0;
-    double attainable_share_ = std::numeric_limits<double>::infinity();
-    /// See share_basis.
-    double reserve_ = 0;
-    /// Some workspace is served less than it demands.
-    bool any_backlogged_ = false;
-    /// See share_basis::min_backlogged_served.
-    double min_backlogged_served_ = std::numeric_limits<double>::infinity();
+    shares::allocation allocation_;
+    shares::yield_reserve reserve_;
     base::time_point last_allocation_{};
 };
 
