--- a/tests/shares/shares_model.cpp
+++ b/tests/shares/shares_model.cpp
@@ -16,8 +16,7 @@
 constexpr milliseconds step_length{5};
 const base::time_point start_time(1h);
 const routing::route model_route{.latency_target = 500ms};
-/// Seconds that the FAIR rule looks at, and requests that it allows for.
-constexpr int fair_seconds = 6;
+/// Requests that the FAIR rule allows for.
 constexpr double fair_slack_requests = 3;
 /// A caller that was refused comes back or sends another request within this time.
 constexpr milliseconds refusal_memory{200};
@@ -61,6 +60,36 @@
     options_.service_time = time;
 }
 
+void shares_model::lose_engines(int count)
+{
+    const auto first = engines_.size() - static_cast<std::size_t>(count);
+    for (std::size_t index = first; index < engines_.size(); ++index)
+    {
+        auto& engine = engines_[index];
+        engine.lost = true;
+        std::vector<request> lost(engine.queued.begin(), engine.queued.end());
+        for (const auto& [end, running] : engine.running)
+        {
+            lost.push_back(running);
+        }
+        engine.queued.clear();
+        engine.running.clear();
+        for (const auto& each : lost)
+        {
+            routers_[static_cast<std::size_t>(each.router)].loads.record_end(
+                engine_name(static_cast<int>(index)), {.running = 1});
+            send_again(each);
+        }
+    }
+}
+
+void shares_model::send_again(const request& lost)
+{
+    auto& router = routers_[static_cast<std::size_t>(lost.router)];
+    router.shares.retract_served(workspace(lost.source), options_.tokens_per_request, now_);
+    place_or_enqueue(lost);
+}
+
 void shares_model::run_until(milliseconds end)
 {
     while (now_ < start_time + end)
@@ -90,7 +119,7 @@
         auto& engine = engines_[index];
         while (!engine.running.empty() && engine.running.begin()->first <= now_)
         {
-            const int router = engine.running.begin()->second;
+            const int router = engine.running.begin()->second.router;
             engine.running.erase(engine.running.begin());
             routers_[static_cast<std::size_t>(router)].loads.record_end(
                 engine_name(static_cast<int>(index)), {.running = 1});
@@ -153,17 +182,24 @@
         return;
     }
     processor -= 1;
-    if (place(arrival))
+    place_or_enqueue(arrival);
+}
+
+void shares_model::place_or_enqueue(const request& candidate)
+{
+    if (place(candidate))
     {
         return;
     }
+    auto& router = routers_[static_cast<std::size_t>(candidate.router)];
+    const auto id = workspace(candidate.source);
     const auto terms =
-        routing::admit(model_route, router.shares.status(id, arrival.resubmitted, now_));
+        routing::admit(model_route, router.shares.status(id, candidate.resubmitted, now_));
     const auto wait = router.queue.add({.workspace = id,
-                                        .resubmitted = arrival.resubmitted,
+                                        .resubmitted = candidate.resubmitted,
                                         .arrived = now_,
                                         .expires = now_ + terms.max_queue_time});
-    router.waiting[wait] = arrival;
+    router.waiting[wait] = candidate;
 }
 
 bool shares_model::place(const request& candidate)
@@ -184,7 +220,8 @@
     {
         const int engine = (first + step) % options_.engines;
         const auto running = router.loads.total(engine_name(engine)).running;
-        if (running < limit && (chosen < 0 || running < least))
+        const bool lost = engines_[static_cast<std::size_t>(engine)].lost;
+        if (!lost && running < limit && (chosen < 0 || running < least))
         {
             chosen = engine;
             least = running;
@@ -196,22 +233,22 @@
     }
     router.shares.record_served(id, options_.tokens_per_request, now_);
     current_usage(candidate.source).begun += options_.tokens_per_request;
-    start(chosen, candidate.router);
+    start(chosen, candidate);
     return true;
 }
 
-void shares_model::start(int engine, int router)
+void shares_model::start(int engine, const request& placed)
 {
     auto& state = engines_[static_cast<std::size_t>(engine)];
-    routers_[static_cast<std::size_t>(router)].loads.record_start(engine_name(engine),
-                                                                  {.running = 1});
+    routers_[static_cast<std::size_t>(placed.router)].loads.record_start(engine_name(engine),
+                                                                         {.running = 1});
     if (state.running.size() < static_cast<std::size_t>(options_.slots))
     {
-        state.running.emplace(now_ + next_service_time(), router);
+        state.running.emplace(now_ + next_service_time(), placed);
     }
     else
     {
-        state.queued.push_back(router);
+        state.queued.push_back(placed);
     }
 }
 
@@ -297,49 +334,24 @@
         return;
     }
     double running = 0;
+    double open_slots = 0;
     for (const auto& engine : engines_)
     {
         running += static_cast<double>(engine.running.size());
+        open_slots += engine.lost ? 0 : std::floor(options_.open_slots * options_.slots);
     }
     const double steps_per_second = 1s / step_length;
-    const double open_slots = options_.engines * std::floor(options_.open_slots * options_.slots);
     idle_[second] += std::max(0.0, 1 - running / open_slots) / steps_per_second;
 }
 
 double shares_model::fairness(const std::string& workspace, int from) const
 {
-    double owed = 0;
-    double begun = 0;
-    for (int second = from; second < from + fair_seconds; ++second)
-    {
-        const auto& own = usage(workspace, second);
-        if (!own.waited)
-        {
-            return std::numeric_limits<double>::infinity();
-        }
-        double best = 0;
-        for (const auto& [unused, seconds] : usages_)
-        {
-            best = std::max(best, seconds.at(static_cast<std::size_t>(second)).begun);
-        }
-        owed += std::min(own.asked, best) / 2;
-        begun += own.begun;
-    }
-    owed -= fair_slack_requests * options_.tokens_per_request;
-    return owed <= 0 ? std::numeric_limits<double>::infinity() : begun / owed;
+    return usages_.fairness(workspace, from, fair_slack_requests * options_.tokens_per_request);
 }
 
 double shares_model::worst_fairness(int end) const
 {
-    double worst = std::numeric_limits<double>::infinity();
-    for (int from = 0; from + fair_seconds <= end; ++from)
-    {
-        for (const auto& each : demands_)
-        {
-            worst = std::min(worst, fairness(each.workspace, from));
-        }
-    }
-    return worst;
+    return usages_.worst_fairness(end, fair_slack_requests * options_.tokens_per_request);
 }
 
 double shares_model::idle_while_waiting(int from, int end) const
@@ -354,11 +366,7 @@
 
 const second_usage& shares_model::usage(const std::string& workspace, int second) const
 {
-    static const second_usage none;
-    const auto& seconds = usages_.at(workspace);
-    return static_cast<std::size_t>(second) < seconds.size()
-               ? seconds[static_cast<std::size_t>(second)]
-               : none;
+    return usages_.at(workspace, second);
 }
 
 base::workspace_id shares_model::workspace(std::size_t source) const
@@ -369,12 +377,7 @@
 second_usage& shares_model::current_usage(std::size_t source)
 {
     const auto second = static_cast<std::size_t>((now_ - start_time) / 1s);
-    for (const auto& each : demands_)
-    {
-        auto& seconds = usages_[each.workspace];
-        seconds.resize(std::max(seconds.size(), second + 1));
-    }
-    return usages_[demands_[source].workspace][second];
+    return usages_.of(demands_[source].workspace, second);
 }
 
 base::node_id shares_model::router_name(int index) const
--- a/tests/shares/shares_model.hpp
+++ b/tests/shares/shares_model.hpp
@@ -5,6 +5,8 @@
 #include "libcaraway/routing/returns/wait_queue.hpp"
 #include "libcaraway/routing/workspace_shares.hpp"
 
+#include "second_usages.hpp"
+
 #include <deque>
 #include <map>
 #include <set>
@@ -43,14 +45,6 @@
 /// Eight workspaces that ask little, at two routers each; `rate` in requests per second.
 std::vector<demand> background(double rate);
 
-/// Tokens of one workspace in one second, as its callers see them.
-struct second_usage
-{
-    double asked = 0;
-    double begun = 0;
-    bool waited = false;
-};
-
 class shares_model
 {
 public:
@@ -58,6 +52,9 @@
 
     /// Changes the time that requests occupy a slot from now on.
     void set_service_time(std::chrono::milliseconds time);
+    /// The last `count` engines are gone for good, with the requests that they ran: these are sent
+    /// again.
+    void lose_engines(int count);
     void run_until(std::chrono::milliseconds end);
 
     /// What a workspace got in the six seconds from `from`, divided by what the FAIR rule owes it:
@@ -90,8 +87,9 @@
 
     struct engine_state
     {
-        std::multimap<base::time_point, int> running;
-        std::deque<int> queued;
+        std::multimap<base::time_point, request> running;
+        std::deque<request> queued;
+        bool lost = false;
     };
 
     void step();
@@ -99,7 +97,9 @@
     void arrive();
     void receive(const request& arrival);
     bool place(const request& candidate);
-    void start(int engine, int router);
+    void place_or_enqueue(const request& candidate);
+    void start(int engine, const request& placed);
+    void send_again(const request& lost);
     void dispatch(router_state& router);
     void expire(router_state& router);
     void refuse(const request& refused, routing::refusal_cause cause);
@@ -123,7 +123,7 @@
     base::time_point now_;
     base::time_point last_refusal_{};
     std::uint32_t random_state_ = 1;
-    std::map<std::string, std::vector<second_usage>> usages_;
+    second_usages usages_;
     /// See idle_while_waiting; by second.
     std::vector<double> idle_;
 };
