--- a/tests/share_bursts/test_share_bursts.cpp
+++ b/tests/share_bursts/test_share_bursts.cpp
@@ -36,7 +36,8 @@
                                             routing::admission_options{}.slot_share_contended,
                                         .tokens_per_request = 24000,
                                         .configured_tokens_per_second = 2.9e6,
-                                        .digest_period = 500ms};
+                                        .digest_period = 500ms,
+                                        .begun_with_slot = true};
 
 }  // namespace
 
--- a/tests/shares/shares_model.cpp
+++ b/tests/shares/shares_model.cpp
@@ -126,8 +126,9 @@
             freed.insert(router);
             if (!engine.queued.empty())
             {
-                engine.running.emplace(now_ + next_service_time(), engine.queued.front());
+                const auto next = engine.queued.front();
                 engine.queued.pop_front();
+                begin(engine, next);
             }
         }
     }
@@ -232,7 +233,10 @@
         return false;
     }
     router.shares.record_served(id, options_.tokens_per_request, now_);
-    current_usage(candidate.source).begun += options_.tokens_per_request;
+    if (!options_.begun_with_slot)
+    {
+        current_usage(candidate.source).begun += options_.tokens_per_request;
+    }
     start(chosen, candidate);
     return true;
 }
@@ -244,7 +248,7 @@
                                                                          {.running = 1});
     if (state.running.size() < static_cast<std::size_t>(options_.slots))
     {
-        state.running.emplace(now_ + next_service_time(), placed);
+        begin(state, placed);
     }
     else
     {
@@ -252,6 +256,15 @@
     }
 }
 
+void shares_model::begin(engine_state& engine, const request& begun)
+{
+    engine.running.emplace(now_ + next_service_time(), begun);
+    if (options_.begun_with_slot)
+    {
+        current_usage(begun.source).begun += options_.tokens_per_request;
+    }
+}
+
 void shares_model::dispatch(router_state& router)
 {
     const auto order = router.queue.order(
--- a/tests/shares/shares_model.hpp
+++ b/tests/shares/shares_model.hpp
@@ -29,6 +29,8 @@
     double tokens_per_request = 6000;
     double configured_tokens_per_second = 2e6;
     std::chrono::milliseconds digest_period{100};
+    /// Requests count as begun once they have a slot, rather than once they are sent to an engine.
+    bool begun_with_slot = false;
 };
 
 /// Fresh requests of one workspace, spread evenly over its routers.
@@ -99,6 +101,8 @@
     bool place(const request& candidate);
     void place_or_enqueue(const request& candidate);
     void start(int engine, const request& placed);
+    /// The request has a slot; until then it waits in the engine's own queue.
+    void begin(engine_state& engine, const request& begun);
     void send_again(const request& lost);
     void dispatch(router_state& router);
     void expire(router_state& router);
