--- a/tests/share_bursts/test_share_bursts.cpp
+++ b/tests/share_bursts/test_share_bursts.cpp
@@ -16,8 +16,10 @@
     {
         return std::map<std::chrono::milliseconds, double>{{0ms, rate}, {3000ms, factor * rate}};
     };
+    constexpr int small_workspaces = 8;
     std::vector<tests::demand> demands;
-    for (int index = 0; index < 8; ++index)
+    demands.reserve(small_workspaces + 3);
+    for (int index = 0; index < small_workspaces; ++index)
     {
         demands.push_back({.workspace = "small" + std::to_string(index),
                            .routers = 2,
