Placements: why they left their zone, and which tokens of shared parts they lacked

The line of a request says zone_reason, and two counters by service and zone say how many requests went to another zone and how many tokens of shared parts the chosen engine was assumed to lack, fetched or read again.

--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -156,12 +156,43 @@
                     .help = "Time from a request's first byte to its end, in seconds."},
                    {{"outcome", std::string(outcome)}})
         .observe(core_.now() - request_->arrived());
+    if (last_placement_)
+    {
+        count_placement(*last_placement_);
+    }
     if (core_.log.accepts_request_line())
     {
         log_end(outcome, status, reason);
     }
 }
 
+void request_session::count_placement(const routing::placement& placed)
+{
+    const metrics::labels where{{"service", service_->id.str()},
+                                {"zone", placed.target.zone.str()}};
+    if (placed.zone != routing::zone_choice::own_zone)
+    {
+        auto labels = where;
+        labels.push_back({"reason", routing::name(placed.zone)});
+        core_.metrics
+            .counter({.name = "caraway_requests_to_other_zone_total",
+                      .help = "Requests sent to an upstream in another zone, by its zone."},
+                     labels)
+            .add();
+    }
+    const auto lacked = placed.shared_tokens - placed.cached_tokens;
+    if (lacked > 0)
+    {
+        auto labels = where;
+        labels.push_back({"how", placed.cache_source ? "fetched" : "read"});
+        core_.metrics
+            .counter({.name = "caraway_shared_part_tokens_total",
+                      .help = "Tokens of shared parts that the chosen engine was assumed to lack."},
+                     labels)
+            .add(lacked);
+    }
+}
+
 void request_session::log_end(std::string_view outcome, unsigned status, std::string_view reason)
 {
     const auto now = core_.now();
@@ -219,6 +250,10 @@
         line["wait_ms"] = last_placement_->wait.count();
         line["unread"] = last_placement_->load.pending_prefill_tokens;
         line["running"] = last_placement_->running;
+        if (last_placement_->zone != routing::zone_choice::own_zone)
+        {
+            line["zone_reason"] = routing::name(last_placement_->zone);
+        }
         if (last_placement_->copy != routing::held_copy::no_parts)
         {
             line["copy"] = routing::name(last_placement_->copy);
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -130,6 +130,7 @@
                 std::optional<std::chrono::milliseconds> retry_after = std::nullopt);
     void abort_answer(std::string_view reason);
     void finish(std::string_view outcome, unsigned status, std::string_view reason);
+    void count_placement(const routing::placement& placed);
     void log_end(std::string_view outcome, unsigned status, std::string_view reason);
     void on_deadline();
     void on_caller_left();
--- a/src/libcaraway/routing/placer.cpp
+++ b/src/libcaraway/routing/placer.cpp
@@ -25,11 +25,6 @@
     return tokens;
 }
 
-bool was_tried(const placement_request& request, const base::upstream_id& id)
-{
-    return std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end();
-}
-
 bool is_other_version(const placement_request& request, const upstream& target)
 {
     return request.software && target.software != *request.software;
@@ -85,30 +80,9 @@
 
 }  // namespace
 
-bool placer::is_worth_copying(const candidate& chosen, std::uint32_t shared) const
-{
-    return shared * chosen.estimate.prefill_ms_per_token >
-           static_cast<double>(options_.min_transfer_gain.count());
-}
-
-const char* name(held_copy copy)
+bool placement_request::was_tried(const base::upstream_id& id) const
 {
-    switch (copy)
-    {
-    case held_copy::no_parts:
-        return "no_parts";
-    case held_copy::home:
-        return "home";
-    case held_copy::further_copy:
-        return "further_copy";
-    case held_copy::overflow:
-        return "overflow";
-    case held_copy::sent_before:
-        return "sent_before";
-    case held_copy::none:
-        return "none";
-    }
-    return "none";
+    return std::find(tried.begin(), tried.end(), id) != tried.end();
 }
 
 placer::placer(placement_options options) : options_(std::move(options)), homes_(options_.homes) {}
@@ -138,6 +112,7 @@
     out.copy = copy_at(context, *best);
     out.shared_tokens = context.shared;
     out.cached_tokens = best->cached;
+    out.zone = zone_choice_of(out);
     out.is_new_copy = out.copy != held_copy::no_parts && out.copy != held_copy::home &&
                       out.copy != held_copy::sent_before && is_worth_copying(*best, context.shared);
     if (const auto* source = find_cache_source(context, *best))
@@ -191,7 +166,7 @@
     candidate considered{.target = &target, .total = context.board.total(target.id)};
     // The most frequent reason for exclusion is checked first: with hundreds of engines, most of
     // them full, placing nothing takes a small VM more CPU time than serving a request.
-    if (!has_room(context, target, considered.total) || was_tried(request, target.id) ||
+    if (!has_room(context, target, considered.total) || request.was_tried(target.id) ||
         is_other_version(request, target) ||
         !context.health.usable(target.id, context.board.own_running(target.id), context.now))
     {
@@ -226,122 +201,6 @@
     }
 }
 
-held_copy placer::copy_at(const search_context& context, const candidate& chosen)
-{
-    const auto& homes = context.homes;
-    if (homes.homes.empty())
-    {
-        return held_copy::no_parts;
-    }
-    const auto is_chosen = [&](std::size_t home)
-    {
-        return context.candidates[home] == chosen.target;
-    };
-    if (is_chosen(homes.homes.back()))
-    {
-        return held_copy::home;
-    }
-    if (std::any_of(homes.copies.begin(), homes.copies.end(), is_chosen))
-    {
-        return held_copy::further_copy;
-    }
-    if (chosen.cached >= context.shared)
-    {
-        return held_copy::sent_before;
-    }
-    const auto& further = homes.further_homes;
-    return std::any_of(further.begin(), further.end(), is_chosen) ? held_copy::overflow
-                                                                  : held_copy::none;
-}
-
-/// The upstreams known to have read the last shared part are surest to hold it. Without any, the
-/// homes before the chosen one in the part's order are asked, so that copies spread like a tree.
-const upstream* placer::find_cache_source(const search_context& context,
-                                          const candidate& chosen) const
-{
-    const auto& homes = context.homes;
-    const auto& engine = context.request.requested_service->engine;
-    if (homes.homes.empty() || !engine || engine->transfer_per_token.count() <= 0)
-    {
-        return nullptr;
-    }
-    const double gain = possibly_missing(context, chosen) *
-                        (chosen.estimate.prefill_ms_per_token - engine->transfer_per_token.count());
-    if (gain <= static_cast<double>(options_.min_transfer_gain.count()))
-    {
-        return nullptr;
-    }
-    auto sources = known_holders(context, chosen);
-    if (sources.empty())
-    {
-        sources = earlier_homes(context, chosen);
-    }
-    if (sources.empty())
-    {
-        return nullptr;
-    }
-    const auto index =
-        static_cast<std::size_t>(context.request.random_unit * static_cast<double>(sources.size()));
-    return sources[std::min(index, sources.size() - 1)];
-}
-
-std::vector<const upstream*> placer::known_holders(const search_context& context,
-                                                   const candidate& chosen) const
-{
-    std::vector<const upstream*> holders;
-    for (const auto* each : context.candidates)
-    {
-        if (each != chosen.target &&
-            copies_.has_read(each->hash, context.homes.prefixes.back(), context.now) &&
-            may_hold(context, *each, *chosen.target))
-        {
-            holders.push_back(each);
-        }
-    }
-    return holders;
-}
-
-std::vector<const upstream*> placer::earlier_homes(const search_context& context,
-                                                   const candidate& chosen) const
-{
-    auto order = context.homes.copies;
-    order.insert(order.begin(), context.homes.homes.back());
-    std::vector<const upstream*> earlier;
-    for (const auto home : order)
-    {
-        const auto* each = context.candidates[home];
-        if (each == chosen.target)
-        {
-            break;
-        }
-        if (may_hold(context, *each, *chosen.target))
-        {
-            earlier.push_back(each);
-        }
-    }
-    return earlier;
-}
-
-/// A home is assumed to hold its parts, but may not have read them: the first requests may have
-/// gone elsewhere, as it was busy, or it may have become a home just now.
-std::uint32_t placer::possibly_missing(const search_context& context, const candidate& chosen) const
-{
-    const bool is_assumed =
-        chosen.cached == context.shared &&
-        !copies_.holds(chosen.target->hash, context.homes.prefixes.back(), context.now);
-    return is_assumed ? context.shared : context.shared - chosen.cached;
-}
-
-bool placer::may_hold(const search_context& context, const upstream& source,
-                      const upstream& chosen) const
-{
-    const auto& request = context.request;
-    return !was_tried(request, source.id) && source.software == chosen.software &&
-           !context.health.excluded(source.id, context.now) &&
-           (request.cold_upstreams == nullptr ||
-            !request.cold_upstreams->is_cold(source.id, context.now));
-}
-
 void placer::record_sent(const base::upstream_id& id, const std::vector<prompt_part>& prompt,
                          const base::workspace_id& workspace, base::time_point now,
                          bool is_new_copy)
--- a/src/libcaraway/routing/placer.hpp
+++ b/src/libcaraway/routing/placer.hpp
@@ -67,6 +67,8 @@
     /// Maximum number of tokens of shared parts that may be prefilled again for the request, except
     /// at its second home.
     std::uint32_t max_repeated_tokens = std::numeric_limits<std::uint32_t>::max();
+
+    bool was_tried(const base::upstream_id& id) const;
 };
 
 /// Why an upstream is assumed to have the shared parts of a prompt, or a part of them.
@@ -89,9 +91,23 @@
 /// The name of the copy in log lines.
 const char* name(held_copy copy);
 
+/// Why a request is sent to an upstream in another zone than the router's.
+enum class zone_choice
+{
+    own_zone,
+    /// The upstream is assumed to have the prompt's shared parts.
+    holds_parts,
+    /// Those in the router's zone are busier, have no room, or aren't there.
+    less_busy,
+};
+
+/// The name of the choice in log lines and metrics.
+const char* name(zone_choice choice);
+
 struct placement
 {
     upstream target;
+    zone_choice zone = zone_choice::own_zone;
     held_copy copy = held_copy::no_parts;
     /// Peers should learn that the target holds the shared parts.
     bool is_new_copy = false;
@@ -193,6 +209,7 @@
     void consider(const search_context& context, std::size_t index, search_result& result) const;
     bool has_room(const search_context& context, const upstream& target,
                   const engines::upstream_load& total) const;
+    zone_choice zone_choice_of(const placement& chosen) const;
     static held_copy copy_at(const search_context& context, const candidate& chosen);
     /// Returns the engine that should transfer the shared parts that the chosen one lacks, or null
     /// if prefilling them is about as fast or no engine can transfer them.
--- a/tests/hot_parts/test_part_copies.cpp
+++ b/tests/hot_parts/test_part_copies.cpp
@@ -174,6 +174,15 @@
     BOOST_TEST((!sent.cache_source || sent.cache_source->id != elsewhere.target.id));
 }
 
+BOOST_AUTO_TEST_CASE(a_placement_says_why_it_left_the_routers_zone)
+{
+    BOOST_TEST((place(selector, start).zone == zone_choice::own_zone));
+    const auto at_home = place(peer, start);
+    BOOST_TEST((at_home.zone == zone_choice::holds_parts));
+    board.record_start(at_home.target.id, {.running = 32});
+    BOOST_TEST((place(peer, start).zone == zone_choice::less_busy));
+}
+
 BOOST_AUTO_TEST_CASE(parts_that_are_read_quickly_are_not_told_of)
 {
     parts = {
