--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -150,12 +150,43 @@
         wait_id_.reset();
     }
     core_.request_metrics.record_end(outcome, status, reason, core_.now() - request_->arrived());
+    if (last_placement_)
+    {
+        count_placement(*last_placement_);
+    }
     if (core_.log.accepts_request_line())
     {
         log_end(outcome, status, reason);
     }
 }
 
+void request_session::count_placement(const routing::placement& placed)
+{
+    const metrics::labels where{{"service", service_->id.str()},
+                                {"zone", placed.target.zone.str()}};
+    if (placed.zone != routing::zone_choice::own_zone)
+    {
+        auto labels = where;
+        labels.push_back({"reason", routing::name(placed.zone)});
+        core_.metrics
+            .counter({.name = "caraway_requests_to_other_zone_total",
+                      .help = "Requests sent to an upstream in another zone, by its zone."},
+                     labels)
+            .add();
+    }
+    const auto lacked = placed.shared_tokens - placed.cached_tokens;
+    if (lacked > 0)
+    {
+        auto labels = where;
+        labels.push_back({"how", placed.cache_source ? "fetched" : "read"});
+        core_.metrics
+            .counter({.name = "caraway_shared_part_tokens_total",
+                      .help = "Tokens of shared parts that the chosen engine was assumed to lack."},
+                     labels)
+            .add(lacked);
+    }
+}
+
 void request_session::log_end(std::string_view outcome, unsigned status, std::string_view reason)
 {
     const auto now = core_.now();
@@ -214,6 +245,10 @@
         line.add("wait_ms", last_placement_->wait.count());
         line.add("unread", last_placement_->load.pending_prefill_tokens);
         line.add("running", last_placement_->running);
+        if (last_placement_->zone != routing::zone_choice::own_zone)
+        {
+            line.add("zone_reason", routing::name(last_placement_->zone));
+        }
         if (last_placement_->copy != routing::held_copy::no_parts)
         {
             line.add("copy", routing::name(last_placement_->copy));
