Part door: refused callers of a flooded VM get an answer, within a budget of work

Change: while a limit is in force the head of a new connection is looked at before anything is parsed; a workspace within its part is read, one beyond it gets a prepared 503 with Retry-After.

--- /dev/null
+++ b/src/libcaraway/http/door.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace caraway::http
+{
+
+/// Decides about new connections while there is not enough processor time for all of them. Set all
+/// functions or none.
+struct door
+{
+    /// Whether new connections are decided about by their first bytes.
+    std::function<bool()> is_narrow;
+    /// Whether one more connection may be accepted before the next call of `listener::resume`.
+    std::function<bool()> accepts_more;
+    /// A complete answer, with `Connection: close`, that refuses the request that begins with these
+    /// bytes, which may be none; empty if the request is to be read.
+    std::function<std::optional<std::string>(std::string_view)> refusal;
+    /// A connection was accepted and either refused or passed on.
+    std::function<void(bool refused)> on_accepted;
+};
+
+}  // namespace caraway::http
--- a/src/libcaraway/http/listener.cpp
+++ b/src/libcaraway/http/listener.cpp
@@ -1,7 +1,16 @@
 #include "libcaraway/http/listener.hpp"
 
+#include "libcaraway/http/raw_head.hpp"
+#include "libcaraway/http/read_scratch.hpp"
+
 #include <boost/asio/ip/address.hpp>
 
+#include <algorithm>
+#include <cerrno>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
 namespace caraway::http
 {
 
@@ -17,6 +26,15 @@
 constexpr std::size_t max_accepts_per_iteration = 64;
 /// Expired entries tolerated in the list of connections; each costs one pointer.
 constexpr std::size_t max_expired_entries = 64;
+/// Calls of `resume` in a row that find callers still waiting in the backlog before it is closed:
+/// callers wait for two to three ticks of 100 ms, of the second that they allow for a connection
+/// and for reading their request.
+constexpr int max_consecutive_pauses = 2;
+
+bool is_temporary(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR || error == ECONNABORTED;
+}
 
 }  // namespace
 
@@ -98,6 +116,7 @@
 void listener::close()
 {
     refusing_ = false;
+    paused_ = false;
     boost::system::error_code ignored;
     acceptor_.close(ignored);
 }
@@ -112,11 +131,31 @@
 
 void listener::resume()
 {
-    if (!refusing_)
+    if (refusing_)
+    {
+        // Another process may have bound the port meanwhile; the next call tries again.
+        refusing_ = !listen();
+        return;
+    }
+    if (!std::exchange(paused_, false))
     {
+        consecutive_pauses_ = 0;
         return;
     }
-    // Another process may have bound the port meanwhile; the next call tries again.
+    if (++consecutive_pauses_ > max_consecutive_pauses)
+    {
+        close_backlog();
+        return;
+    }
+    accept();
+}
+
+void listener::close_backlog()
+{
+    consecutive_pauses_ = 0;
+    ++flushes_;
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
     refusing_ = !listen();
 }
 
@@ -133,54 +172,109 @@
 
 void listener::accept()
 {
-    acceptor_.async_accept(owner_.guard(
-        [this](const boost::system::error_code& error, tcp::socket socket)
-        {
-            // The acceptor was closed; if it was reopened since, `listen` started another accept.
-            if (error == boost::asio::error::operation_aborted || !acceptor_.is_open())
-            {
-                return;
-            }
-            if (error)
-            {
-                refuse();
-                return;
-            }
-            add_connection(std::move(socket));
-            accept_pending();
-            if (!refusing_)
-            {
-                accept();
-            }
-        }));
+    acceptor_.async_wait(tcp::acceptor::wait_read,
+                         owner_.guard(
+                             [this](const boost::system::error_code& error)
+                             {
+                                 // The acceptor was closed; if it was reopened since, `listen`
+                                 // started another wait.
+                                 if (error || !acceptor_.is_open())
+                                 {
+                                     return;
+                                 }
+                                 accept_pending();
+                                 if (!refusing_ && !paused_)
+                                 {
+                                     accept();
+                                 }
+                             }));
 }
 
-/// Accepts the connections pending in the backlog of the listening socket. The event loop delivers
-/// one connection per iteration, and an iteration under load takes some milliseconds: at 500
-/// connections per second callers waited in the backlog for more than a second and gave up,
-/// although the process had capacity for them.
+/// Accepts the connections pending in the backlog of the listening socket, several per iteration of
+/// the event loop: under load an iteration takes some milliseconds, and at 500 connections per
+/// second callers waited in the backlog for more than a second and gave up, although the process
+/// had capacity for them.
 void listener::accept_pending()
 {
-    boost::system::error_code error;
     for (std::size_t count = 0; count < max_accepts_per_iteration && !refusing_; ++count)
     {
-        tcp::socket socket(acceptor_.get_executor());
-        acceptor_.accept(socket, error);
-        if (error)
+        paused_ = !accepts_more();
+        if (paused_)
         {
             return;
         }
-        add_connection(std::move(socket));
+        const int handle =
+            ::accept4(acceptor_.native_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (handle < 0)
+        {
+            if (!is_temporary(errno))
+            {
+                refuse();
+            }
+            return;
+        }
+        decide(handle);
     }
 }
 
+bool listener::accepts_more()
+{
+    return !door_.is_narrow || !door_.is_narrow() || door_.accepts_more();
+}
+
+void listener::decide(int handle)
+{
+    if (!door_.is_narrow || !door_.is_narrow())
+    {
+        add_connection(handle);
+        return;
+    }
+    auto& scratch = read_scratch();
+    const auto size = ::recv(handle, scratch.data(), scratch.size(), 0);
+    if (size == 0 || (size < 0 && !is_temporary(errno)))
+    {
+        ::close(handle);
+        door_.on_accepted(true);
+        return;
+    }
+    const std::string_view first_bytes(scratch.data(),
+                                       static_cast<std::size_t>(std::max<ssize_t>(0, size)));
+    const auto refusal = door_.refusal(first_bytes);
+    const auto head = refusal ? raw_head::find(first_bytes) : std::nullopt;
+    if (head && head->is_whole_request())
+    {
+        // Nothing is left unread, so closing doesn't reset the connection.
+        ::send(handle, refusal->data(), refusal->size(), MSG_NOSIGNAL);
+        ::close(handle);
+    }
+    else
+    {
+        add_connection(handle, first_bytes, refusal);
+    }
+    door_.on_accepted(refusal.has_value());
+}
+
+void listener::set_door(door entry)
+{
+    door_ = std::move(entry);
+}
+
 void listener::set_admission(std::function<bool()> admits_more)
 {
     admits_more_ = std::move(admits_more);
 }
 
-void listener::add_connection(tcp::socket socket)
+void listener::add_connection(int handle, std::string_view first_bytes,
+                              const std::optional<std::string>& refusal)
 {
+    tcp::socket socket(acceptor_.get_executor());
+    boost::system::error_code error;
+    socket.assign(address_.protocol(), handle, error);
+    if (error)
+    {
+        ::close(handle);
+        return;
+    }
     if (*open_count_ >= max_connections_)
     {
         close_oldest_idle();
@@ -195,9 +289,15 @@
         return;
     }
     const auto connection = std::make_shared<server_connection>(std::move(socket), timers_, limits_,
-                                                                on_request_, open_count_);
+                                                                on_request_, open_count_, &door_);
     connections_.push_back(connection);
-    connection->start();
+    if (refusal)
+    {
+        connection->start();
+        connection->refuse(*refusal);
+        return;
+    }
+    connection->start(first_bytes);
     if (admits_more_ && !admits_more_())
     {
         refuse();
--- a/src/libcaraway/http/listener.hpp
+++ b/src/libcaraway/http/listener.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libcaraway/base/error.hpp"
+#include "libcaraway/http/door.hpp"
 #include "libcaraway/http/owner_token.hpp"
 #include "libcaraway/http/server_connection.hpp"
 #include "libcaraway/routing/upstream_directory.hpp"
@@ -34,7 +35,10 @@
     /// Sets a predicate called after each accepted connection. If it returns false, the listener
     /// refuses connections until `resume`.
     void set_admission(std::function<bool()> admits_more);
-    /// Listens again if connections are being refused. Called periodically.
+    /// Sets what decides about new connections. While it accepts no more, callers wait in the
+    /// backlog of the listening socket, and if that grows, the connections in it are closed unread.
+    void set_door(door entry);
+    /// Listens and accepts again if connections are being refused or wait. Called periodically.
     void resume();
     /// Whether new connections are being refused.
     bool refusing() const
@@ -47,6 +51,12 @@
         return refusals_;
     }
 
+    /// How often the connections in the backlog were closed unread since its creation.
+    std::uint64_t flushes() const
+    {
+        return flushes_;
+    }
+
     /// Closes connections that are between requests. Busy connections close after their answer if
     /// `server_limits::closing` is set.
     void close_idle();
@@ -69,12 +79,17 @@
     base::result<void> listen();
     void accept();
     void accept_pending();
+    bool accepts_more();
+    /// Reads what has come with the connection, and refuses or adds it.
+    void decide(int handle);
+    void close_backlog();
     /// Closes the listening socket until `resume`. The kernel then refuses callers immediately, and
     /// they try another router. Accepting and closing each connection used the whole processor of a
     /// small VM under overload, and callers retried the address that had accepted them. Also used
     /// when file descriptors are exhausted, where retrying immediately would busy-loop.
     void refuse();
-    void add_connection(boost::asio::ip::tcp::socket socket);
+    void add_connection(int handle, std::string_view first_bytes = {},
+                        const std::optional<std::string>& refusal = std::nullopt);
     void erase_expired();
     void close_oldest_idle();
 
@@ -83,8 +98,13 @@
     server_connection::handler on_request_;
     std::size_t max_connections_;
     std::function<bool()> admits_more_;
+    door door_;
     std::uint64_t refusals_ = 0;
+    std::uint64_t flushes_ = 0;
     bool refusing_ = false;
+    /// The door accepts no more until `resume`.
+    bool paused_ = false;
+    int consecutive_pauses_ = 0;
     boost::asio::ip::tcp::endpoint address_;
     boost::asio::ip::tcp::acceptor acceptor_;
     /// In the order of acceptance; may contain expired entries.
--- /dev/null
+++ b/src/libcaraway/http/request_checks.cpp
@@ -0,0 +1,65 @@
+#include "libcaraway/http/request_checks.hpp"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <algorithm>
+
+namespace caraway::http
+{
+
+namespace
+{
+
+namespace beast_http = boost::beast::http;
+
+std::size_t count_fields(const request_head& head, field name)
+{
+    const auto [first, last] = head.equal_range(name);
+    return static_cast<std::size_t>(std::distance(first, last));
+}
+
+}  // namespace
+
+bool has_unambiguous_framing(const request_head& head)
+{
+    const auto encodings = count_fields(head, field::transfer_encoding);
+    const auto length_fields = count_fields(head, field::content_length);
+    if (length_fields > 1 || encodings > 1 || (length_fields > 0 && encodings > 0))
+    {
+        return false;
+    }
+    const auto length = head[field::content_length];
+    if (!std::all_of(length.begin(), length.end(), [](char c) { return c >= '0' && c <= '9'; }))
+    {
+        return false;
+    }
+    if (encodings == 1)
+    {
+        return head.version() >= 11 &&
+               boost::beast::iequals(head[field::transfer_encoding], "chunked");
+    }
+    return true;
+}
+
+bool has_one_host(const request_head& head)
+{
+    const auto hosts = count_fields(head, field::host);
+    return hosts == 1 || (hosts == 0 && head.version() < 11);
+}
+
+status rejection_status(const boost::system::error_code& error)
+{
+    if (error == beast_http::error::header_limit)
+    {
+        return status::request_header_fields_too_large;
+    }
+    if (error == beast_http::error::body_limit)
+    {
+        return status::payload_too_large;
+    }
+    return status::bad_request;
+}
+
+}  // namespace caraway::http
--- a/src/libcaraway/http/server_connection.cpp
+++ b/src/libcaraway/http/server_connection.cpp
@@ -1,15 +1,16 @@
 #include "libcaraway/http/server_connection.hpp"
 
 #include "libcaraway/http/read_scratch.hpp"
+#include "libcaraway/http/request_checks.hpp"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/serializer.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace caraway::http
 {
@@ -28,60 +29,13 @@
 /// could reset the connection and destroy the answer before the caller has read it.
 constexpr std::chrono::milliseconds drain_time{1000};
 
-std::size_t count_fields(const request_head& head, field name)
-{
-    const auto [first, last] = head.equal_range(name);
-    return static_cast<std::size_t>(std::distance(first, last));
-}
-
-/// Whether the message framing is unambiguous. Framing that two parsers may interpret differently
-/// allows request smuggling.
-bool has_unambiguous_framing(const request_head& head)
-{
-    const auto encodings = count_fields(head, field::transfer_encoding);
-    const auto length_fields = count_fields(head, field::content_length);
-    if (length_fields > 1 || encodings > 1 || (length_fields > 0 && encodings > 0))
-    {
-        return false;
-    }
-    const auto length = head[field::content_length];
-    if (!std::all_of(length.begin(), length.end(), [](char c) { return c >= '0' && c <= '9'; }))
-    {
-        return false;
-    }
-    if (encodings == 1)
-    {
-        return head.version() >= 11 &&
-               boost::beast::iequals(head[field::transfer_encoding], "chunked");
-    }
-    return true;
-}
-
-bool has_one_host(const request_head& head)
-{
-    const auto hosts = count_fields(head, field::host);
-    return hosts == 1 || (hosts == 0 && head.version() < 11);
-}
-
-status rejection_status(const boost::system::error_code& error)
-{
-    if (error == beast_http::error::header_limit)
-    {
-        return status::request_header_fields_too_large;
-    }
-    if (error == beast_http::error::body_limit)
-    {
-        return status::payload_too_large;
-    }
-    return status::bad_request;
-}
-
 }  // namespace
 
 server_connection::server_connection(socket_type socket, timer_queue& timers, limits_source limits,
-                                     handler on_request, std::shared_ptr<std::size_t> open)
+                                     handler on_request, std::shared_ptr<std::size_t> open,
+                                     const door* entry)
     : socket_(std::move(socket)), timers_(timers), limits_source_(std::move(limits)),
-      on_request_(std::move(on_request)), open_(std::move(open))
+      on_request_(std::move(on_request)), open_(std::move(open)), door_(entry)
 {
     ++*open_;
 }
@@ -94,15 +48,44 @@
     }
 }
 
-void server_connection::start()
+void server_connection::start(std::string_view first_bytes)
 {
     boost::system::error_code ignored;
     socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);
     begin_request();
+    if (!first_bytes.empty())
+    {
+        door_ = nullptr;
+        buffer_.append(first_bytes);
+        parse();
+    }
     read();
 }
 
+void server_connection::refuse(std::string_view whole_answer)
+{
+    keep_alive_ = false;
+    std::string().swap(buffer_);
+    send(whole_answer);
+    on_answer_ended(false);
+}
+
+bool server_connection::refuse_at_door()
+{
+    const auto* entry = std::exchange(door_, nullptr);
+    if (entry == nullptr || !entry->is_narrow || !entry->is_narrow())
+    {
+        return false;
+    }
+    const auto answer = entry->refusal(buffer_);
+    if (answer)
+    {
+        refuse(*answer);
+    }
+    return answer.has_value();
+}
+
 bool server_connection::close_if_idle()
 {
     const bool idle = !current_ && buffer_.empty() && !parser_->got_some() && !write_pending_;
@@ -160,7 +143,7 @@
     {
         buffer_.append(read_scratch().data(), bytes);
     }
-    if (!current_)
+    if (!current_ && !refuse_at_door())
     {
         parse();
     }
--- a/src/libcaraway/http/server_connection.hpp
+++ b/src/libcaraway/http/server_connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libcaraway/http/door.hpp"
 #include "libcaraway/http/message.hpp"
 #include "libcaraway/http/timer_queue.hpp"
 
@@ -97,12 +98,18 @@
     using limits_source = std::function<server_limits()>;
 
     /// `open` is the listener's shared count of open connections. `on_request` is called with each
-    /// complete request.
+    /// complete request. `entry` decides about the first one before it is read; it must outlive the
+    /// connection's open time, and may be null.
     server_connection(socket_type socket, timer_queue& timers, limits_source limits,
-                      handler on_request, std::shared_ptr<std::size_t> open);
+                      handler on_request, std::shared_ptr<std::size_t> open,
+                      const door* entry = nullptr);
     ~server_connection();
 
-    void start();
+    /// `first_bytes` were read from the socket before.
+    void start(std::string_view first_bytes = {});
+    /// Sends this complete answer and closes the connection in a way that lets it arrive. To be
+    /// called after `start`, while no request is being answered.
+    void refuse(std::string_view whole_answer);
     /// Closes the connection unless a request is being read or answered. Returns whether it closed.
     bool close_if_idle();
     /// Closes the connection immediately. No request is delivered and no byte sent afterwards.
@@ -122,6 +129,8 @@
     void read();
     void on_readable(const boost::system::error_code& error);
     void parse();
+    /// Asks the door about the first bytes of the connection. Returns whether they were refused.
+    bool refuse_at_door();
     void parse_buffer();
     void on_head();
     void on_request_complete();
@@ -142,6 +151,8 @@
     server_limits limits_;
     handler on_request_;
     std::shared_ptr<std::size_t> open_;
+    /// Null once the door has been asked.
+    const door* door_;
     /// Received bytes that have not been parsed.
     std::string buffer_;
     std::optional<parser_type> parser_;
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -162,8 +162,8 @@
     };
     callers_ = make_listener(
         caller_limits, [this](const auto& request) { core_.handle(request); }, caller_connections);
-    callers_->set_admission([this]
-                            { return core_.overload.record_connection(core_.active_streams); });
+    callers_->set_admission([this] { return door_.admits_more(); });
+    callers_->set_door(door_.hooks());
     readiness_ = make_listener(
         internal_limits, [this](const auto& request) { answer_readiness(request); },
         internal_connections);
@@ -262,6 +262,7 @@
     }
     max_tick_delay_ = std::max(max_tick_delay_, elapsed - tick_period);
     core_.parts.advance(elapsed);
+    door_.advance(elapsed);
     const bool was_busy = core_.overload.overloaded();
     core_.overload.record_tick(elapsed - tick_period, core_.active_streams);
     if (was_busy != core_.overload.overloaded())
@@ -269,7 +270,8 @@
         core_.log.line("overload", {{"busy", !was_busy},
                                     {"late_ms", (elapsed - tick_period).count()},
                                     {"streams", core_.active_streams},
-                                    {"refusals", callers_->refusals()}});
+                                    {"refusals", callers_->refusals()},
+                                    {"binds", core_.overload.binding()}});
     }
 }
 
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libcaraway/http/listener.hpp"
+#include "libcaraway/router/caller_door.hpp"
 #include "libcaraway/router/origin_exchange.hpp"
 #include "libcaraway/router/peer_link.hpp"
 #include "libcaraway/router/table_sync.hpp"
@@ -55,6 +56,11 @@
         std::uint64_t digests = 0;
         /// Times that the listener refused new connections until the next tick.
         std::uint64_t accept_pauses = 0;
+        /// Requests refused at the door.
+        std::uint64_t refused_ahead = 0;
+        std::uint64_t refused_full = 0;
+        /// Times that the connections waiting in the backlog were closed unread.
+        std::uint64_t flushes = 0;
         std::uint64_t lines_dropped = 0;
     };
 
@@ -157,6 +163,7 @@
     std::string metrics_text();
 
     core core_;
+    caller_door door_{core_};
     platform_port platform_;
     settings_source read_settings_;
     /// The last error of reading the settings, which is logged only once.
--- a/src/libcaraway/router/daemon_answers.cpp
+++ b/src/libcaraway/router/daemon_answers.cpp
@@ -162,6 +162,20 @@
     set_gauge("caraway_connection_refusals",
               "Times that new connections of callers were refused until the next tick, in total.",
               static_cast<double>(callers_->refusals()));
+    set_gauge(
+        "caraway_door_refused_ahead",
+        "Requests refused at the door as their workspaces had more than their part, in total.",
+        static_cast<double>(door_.refused_ahead()));
+    set_gauge("caraway_door_refused_full",
+              "Requests of workspaces beyond their part refused at the door for lack of room, in "
+              "total.",
+              static_cast<double>(door_.refused_full()));
+    set_gauge("caraway_backlog_flushes",
+              "Times that connections waiting to be accepted were closed unread, in total.",
+              static_cast<double>(callers_->flushes()));
+    set_gauge("caraway_admitted_work",
+              "Work of the requests admitted per second, in events relayed, smoothed.",
+              door_.budget().work_rate());
     set_gauge("caraway_crash_suspects", "1 while requests are suspected of crashing upstreams.",
               core_.crashes.has_suspects() ? 1 : 0);
     set_gauge("caraway_store_lost", "1 while the platform's store is unreachable.",
--- a/src/libcaraway/router/ports.hpp
+++ b/src/libcaraway/router/ports.hpp
@@ -58,6 +58,10 @@
     std::function<answer_metadata(const http::response_head&)> parse_answer;
     /// Whether the header field with this name is passed from an upstream's response to the caller.
     std::function<bool(std::string_view)> passes_to_caller;
+    /// The header fields with a workspace's key, and with the milliseconds that the caller will
+    /// wait. Empty: requests are never refused by the first bytes of their connection.
+    std::string key_field;
+    std::string timeout_field;
 };
 
 /// The requests that the router answers itself: the platform's readiness check, and callers that
--- /dev/null
+++ b/src/libcaraway/routing/entry/work_budget.cpp
@@ -0,0 +1,39 @@
+#include "libcaraway/routing/entry/work_budget.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace caraway::routing::entry
+{
+
+namespace
+{
+
+using real_seconds = std::chrono::duration<double>;
+
+}  // namespace
+
+work_budget::work_budget(work_budget_options options) : options_(options) {}
+
+void work_budget::advance(base::duration elapsed, double admitted)
+{
+    const bool is_valid =
+        elapsed > base::duration::zero() && std::isfinite(admitted) && admitted >= 0;
+    if (!is_valid)
+    {
+        return;
+    }
+    const double seconds = real_seconds(elapsed).count();
+    work_rate_ += (admitted / seconds - work_rate_) * options_.smoothing;
+    const double work_per_second = options_.refusals * work_rate_;
+    left_ = std::min(work_per_second * real_seconds(options_.burst).count(),
+                     left_ + work_per_second * seconds);
+}
+
+void work_budget::record_refusal()
+{
+    ++refusals_;
+    left_ -= options_.refusal_work;
+}
+
+}  // namespace caraway::routing::entry
--- a/src/libcaraway/routing/entry/workspace_parts.cpp
+++ b/src/libcaraway/routing/entry/workspace_parts.cpp
@@ -75,6 +75,7 @@
     if (is_work(work))
     {
         counts_of(workspace).admitted += work;
+        new_admitted_ += work;
     }
 }
 
--- a/src/libcaraway/routing/entry/workspace_parts.hpp
+++ b/src/libcaraway/routing/entry/workspace_parts.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <limits>
 #include <map>
+#include <utility>
 
 namespace caraway::routing::entry
 {
@@ -56,6 +57,12 @@
     /// Lets the counts decay by the elapsed time and divides anew. Called periodically.
     void advance(base::duration elapsed);
 
+    /// Work admitted since the last call, of all workspaces.
+    double take_admitted()
+    {
+        return std::exchange(new_admitted_, 0);
+    }
+
     part_standing standing(const base::workspace_id& workspace) const;
     /// Largest count of work asked for with which a workspace is within its part.
     double level() const
@@ -90,6 +97,7 @@
     std::map<base::workspace_id, counts> counts_;
     /// Workspaces beyond `max_workspaces`.
     counts others_;
+    double new_admitted_ = 0;
     double level_within_ = std::numeric_limits<double>::infinity();
     /// Largest count of admitted work with which a workspace that competes isn't ahead.
     double level_competing_ = std::numeric_limits<double>::infinity();
--- a/tests/users_platform/router_fixture.cpp
+++ b/tests/users_platform/router_fixture.cpp
@@ -86,6 +86,10 @@
           {"idle_timeout_ms", 15000},
           {"tokens_per_s", 100000}}},
         {"tenants", json::array({{{"name", "north"}, {"api_keys", keys}}})}};
+    for (const auto& [name, key] : further_workspaces)
+    {
+        configuration["tenants"].push_back({{"name", name}, {"api_keys", {key}}});
+    }
     for (const auto& route : routes)
     {
         configuration["routes"].push_back(route_json(route));
--- a/tests/users_platform/router_fixture.hpp
+++ b/tests/users_platform/router_fixture.hpp
@@ -10,6 +10,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <map>
+
 namespace users_platform_tests
 {
 
@@ -59,6 +61,8 @@
     bool logged(const std::vector<std::string>& parts) const;
 
     stand_in_store store{loop, timers};
+    /// Workspaces of configurations accepted from now on, beside "north", each with its API key.
+    std::map<std::string, std::string> further_workspaces;
     /// Requests per second that a cold engine may get, in configurations accepted from now on; 0
     /// means that engines are never cold.
     double warmup_rate = 0;
