Tests: what the linter found in tests of the joined parts

Narrowing conversions, a return that couldn't move, a vector without its capacity reserved, an unused name; no check changes.

--- a/tests/engines/engines_model.cpp
+++ b/tests/engines/engines_model.cpp
@@ -198,7 +198,7 @@
 void engines_model::end_jobs(int upstream)
 {
     const double whole = options_.are_engines ? 1.0 * options_.events * tokens_per_event
-                                              : 1.0 * options_.call_time.count();
+                                              : static_cast<double>(options_.call_time.count());
     std::erase_if(
         jobs_[upstream],
         [&](const auto& each)
--- a/tests/engines/test_memory_guard.cpp
+++ b/tests/engines/test_memory_guard.cpp
@@ -65,7 +65,8 @@
         const auto total = known.total();
         const bool fits =
             with_guard_ ? from.memory.has_room(capacity, id, known, tokens)
-                        : total.running == 0 || total.held_tokens + tokens <= kv_tokens * 0.92;
+                        : total.running == 0 || static_cast<double>(total.held_tokens + tokens) <=
+                                                    static_cast<double>(kv_tokens) * 0.92;
         if (!fits)
         {
             return false;
--- a/tests/hot_parts/test_part_copies.cpp
+++ b/tests/hot_parts/test_part_copies.cpp
@@ -68,7 +68,7 @@
     {
         const auto home = place(peer, start).target.id;
         board.record_start(home, {.running = 32});
-        const auto sent = place(peer, start);
+        auto sent = place(peer, start);
         board.record_end(home, {.running = 32});
         peer.record_sent(sent.target.id, parts, base::workspace_id("w"), start, sent.is_new_copy);
         selector.copies().merge(peer.copies().announced(1s, start), start + 500ms);
--- a/tests/hot_parts/test_part_homes.cpp
+++ b/tests/hot_parts/test_part_homes.cpp
@@ -158,6 +158,7 @@
     part_homes before;
     part_homes after;
     std::vector<std::size_t> first;
+    first.reserve(1000);
     for (int number = 0; number < 1000; ++number)
     {
         first.push_back(find(before, session("s" + std::to_string(number)), start).homes.back());
--- a/tests/http/test_door.cpp
+++ b/tests/http/test_door.cpp
@@ -5,7 +5,6 @@
 using namespace caraway;
 using namespace std::chrono_literals;
 using http_tests::count_of;
-using http_tests::get_request;
 
 namespace
 {
