--- a/tests/users_platform/test_flooded_door.cpp
+++ b/tests/users_platform/test_flooded_door.cpp
@@ -220,6 +220,7 @@
     for (int wave = 0; wave < 100; ++wave)
     {
         std::vector<std::shared_ptr<http_tests::raw_peer>> ends;
+        ends.reserve(20);
         for (int number = 0; number < 20; ++number)
         {
             ends.push_back(try_send("u" + std::to_string(number),
