Shares: the line tells how far the waiting workspace is behind, and slots idle while requests are refused

Cause: nothing said how near the edge of the rule the fleet was, nor that engines idle while only shares refuse, so waves of shares, a VM at its limit and full engines looked alike. Change: once a second the fleet's counts are kept for six seconds; shares has gap, behind, best_served and idle, and there are two gauges. No decision changes. Result: test_routing passes.

--- a/src/libcaraway/router/daemon_answers.cpp
+++ b/src/libcaraway/router/daemon_answers.cpp
@@ -154,6 +154,13 @@
               "Drained availability zones: upstreams there get nothing new.",
               static_cast<double>(core_.directory.zones().drained_count()));
     set_gauge("caraway_peers", "Other routers known.", static_cast<double>(peers_.size()));
+    set_gauge("caraway_share_gap",
+              "What the waiting workspace furthest behind could have had, divided by what it had, "
+              "over six seconds; 1 is even.",
+              core_.shares.widest_gap().ratio);
+    set_gauge("caraway_slots_idle_while_refusing",
+              "Part of the engines' slots that are free though requests are refused.",
+              idle_while_refusing());
     set_gauge("caraway_streams", "Requests to engines in flight.",
               static_cast<double>(core_.active_streams));
     set_gauge("caraway_overloaded",
--- a/src/libcaraway/router/daemon_report.cpp
+++ b/src/libcaraway/router/daemon_report.cpp
@@ -4,6 +4,8 @@
 
 #include "libcaraway/telemetry/rounding.hpp"
 
+#include <algorithm>
+
 namespace caraway::router
 {
 
@@ -46,6 +48,7 @@
     {
         log_work(last_work_, work);
     }
+    core_.shares.record_second(now);
     log_shares(now);
     last_work_ = work;
     max_tick_delay_ = {};
@@ -96,6 +99,7 @@
     }
     const auto basis = core_.shares.basis(now);
     const auto engines = core_.engine_usage();
+    const auto& gap = core_.shares.widest_gap();
     core_.log.line("shares", {{"even_share", round_to_integer(basis.even_share)},
                               {"attainable_share", round_to_integer(basis.attainable_share)},
                               {"reserve", round_to_hundredths(basis.reserve)},
@@ -106,7 +110,11 @@
                               {"held_by_engines", round_to_integer(basis.total.held_by_engines)},
                               {"slots", engines.slots},
                               {"running", engines.running},
+                              {"idle", round_to_hundredths(idle_while_refusing())},
                               {"waiting", core_.wait_queue.size()},
+                              {"gap", round_to_hundredths(gap.ratio)},
+                              {"behind", gap.behind.str()},
+                              {"best_served", gap.ahead.str()},
                               {"backlogged", basis.backlogged},
                               {"least_flooding", round_to_integer(basis.min_backlogged_served)},
                               {"mean_age_ms", basis.mean_age.count()},
@@ -114,4 +122,16 @@
                               {"workspaces", workspaces}});
 }
 
+double daemon::idle_while_refusing()
+{
+    const auto engines = core_.engine_usage();
+    const auto total = core_.shares.basis(core_.now()).total;
+    if (engines.slots == 0 || total.refused == 0)
+    {
+        return 0;
+    }
+    return std::max(0.0,
+                    1 - static_cast<double>(engines.running) / static_cast<double>(engines.slots));
+}
+
 }  // namespace caraway::router
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -146,6 +146,13 @@
             .oldest_age = peers_.oldest_age(now)};
 }
 
+void workspace_shares::record_second(base::time_point now)
+{
+    auto usages = own_usages(now);
+    peers_.add_to(usages);
+    gap_.add_second(usages);
+}
+
 void workspace_shares::allocate(base::time_point now)
 {
     const auto elapsed = now - last_allocation_;
--- a/src/libcaraway/routing/workspace_shares.hpp
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -4,6 +4,7 @@
 #include "libcaraway/base/ids.hpp"
 #include "libcaraway/routing/shares/allocation.hpp"
 #include "libcaraway/routing/shares/peer_usages.hpp"
+#include "libcaraway/routing/shares/share_gap.hpp"
 #include "libcaraway/routing/shares/share_options.hpp"
 #include "libcaraway/routing/shares/usage_windows.hpp"
 #include "libcaraway/routing/shares/workspace_usage.hpp"
@@ -130,6 +131,12 @@
     /// The workspaces with the highest demand at this router, at most `count`, in descending order.
     std::vector<workspace_view> highest_demand(std::size_t count, base::time_point now);
     share_basis basis(base::time_point now);
+    /// Notes the counts of the fleet for `widest_gap`; called once a second.
+    void record_second(base::time_point now);
+    const shares::widest_gap& widest_gap() const
+    {
+        return gap_.widest();
+    }
 
 private:
     void allocate(base::time_point now);
@@ -143,6 +150,7 @@
     workspace_usages fleet_usage_;
     shares::allocation allocation_;
     shares::yield_reserve reserve_;
+    shares::share_gap gap_;
     base::time_point last_allocation_{};
 };
 
