Shares: workspaces begin at rates that fill the engines, instead of being shut off for what they had

Cause: beyond 1.6 times the least served one a workspace was shut off at all routers at once until its past left the window of 4 s, and then let in at all at once, on sums 0.4 s old; who had most had least a window later (xaka200: 7.8 then 2.0 million in two seconds) while two thirds of the slots idled and only shares refused. Change: share_limit computes how much each workspace may begin so that engines are as full as they should be (max-min of what engines serve at that fullness, from serving rate and occupancy; to 0.65 beyond the configured share, filled up to it; those behind get more). share_credits lets that part of a workspace's requests begin at each router, fresh ones first, and sees a demand grow before the window does. Digests carry, for workspaces with refusals, two more counts that older routers skip, and counts that are negative, no number or too large are clamped.

--- a/src/libcaraway/router/caller_door.cpp
+++ b/src/libcaraway/router/caller_door.cpp
@@ -121,6 +121,7 @@
         return false;
     }
     core_.parts.record_unread(id);
+    core_.shares.record_unread(id, core_.now());
     return true;
 }
 
--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -146,7 +146,7 @@
     dispatching_ = true;
     const auto current_time = now();
     const auto order = wait_queue.order(
-        [&](const auto& id) { return shares.status(id, false, current_time).largest_used(); });
+        [&](const auto& id) { return shares.status(id, {}, current_time).largest_used(); });
     std::size_t failed_placements = 0;
     for (const auto id : order)
     {
@@ -303,8 +303,11 @@
         }
         for (const auto* engine : directory.usable(service.id))
         {
+            const auto load = load_tracker.total(engine->id);
             usage.slots += service.engine->slots;
-            usage.running += load_tracker.total(engine->id).running;
+            usage.running += load.running;
+            usage.taken += service.engine->slots *
+                           routing::engines::memory_guard::part_taken(*service.engine, load);
         }
     }
     return usage;
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -40,6 +40,14 @@
 {
     std::uint64_t slots = 0;
     std::uint64_t running = 0;
+    /// Slots that are taken, or without memory for a further request.
+    double taken = 0;
+
+    /// Part of the engines that is taken; 0 without any.
+    double occupancy() const
+    {
+        return slots == 0 ? 0 : taken / static_cast<double>(slots);
+    }
 };
 
 /// Below this remaining time a request is not sent: no upstream could answer before its deadline.
--- a/src/libcaraway/router/daemon_report.cpp
+++ b/src/libcaraway/router/daemon_report.cpp
@@ -5,6 +5,7 @@
 #include "libcaraway/telemetry/rounding.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace caraway::router
 {
@@ -25,6 +26,12 @@
                                                               : static_cast<std::int64_t>(limit);
 }
 
+/// -1: there is no limit.
+double tokens_or_minus_one(double tokens)
+{
+    return std::isinf(tokens) ? -1 : round_to_integer(tokens);
+}
+
 nlohmann::ordered_json to_json(const routing::workspace_view& workspace)
 {
     return {{"workspace", workspace.id.str()},
@@ -35,7 +42,8 @@
             {"refused", round_to_integer(workspace.fleet_total.refused)},
             {"held_by_engines", round_to_integer(workspace.fleet_total.held_by_engines)},
             {"fill", round_to_hundredths(workspace.status.share_used)},
-            {"ahead", round_to_hundredths(workspace.status.excess_ratio)}};
+            {"limit", tokens_or_minus_one(workspace.limit)},
+            {"held_by_processor", round_to_integer(workspace.fleet_total.held_by_processor)}};
 }
 
 }  // namespace
@@ -100,9 +108,8 @@
     const auto basis = core_.shares.basis(now);
     const auto engines = core_.engine_usage();
     const auto& gap = core_.shares.widest_gap();
-    core_.log.line("shares", {{"even_share", round_to_integer(basis.even_share)},
-                              {"attainable_share", round_to_integer(basis.attainable_share)},
-                              {"reserve", round_to_hundredths(basis.reserve)},
+    core_.log.line("shares", {{"even_share", tokens_or_minus_one(basis.even_share)},
+                              {"limit", tokens_or_minus_one(basis.limit)},
                               {"capacity", round_to_integer(basis.capacity)},
                               {"asked", round_to_integer(basis.total.demanded)},
                               {"served", round_to_integer(basis.total.served)},
@@ -110,13 +117,12 @@
                               {"held_by_engines", round_to_integer(basis.total.held_by_engines)},
                               {"slots", engines.slots},
                               {"running", engines.running},
+                              {"occupancy", round_to_hundredths(basis.occupancy)},
                               {"idle", round_to_hundredths(idle_while_refusing())},
                               {"waiting", core_.wait_queue.size()},
                               {"gap", round_to_hundredths(gap.ratio)},
                               {"behind", gap.behind.str()},
                               {"best_served", gap.ahead.str()},
-                              {"backlogged", basis.backlogged},
-                              {"least_flooding", round_to_integer(basis.min_backlogged_served)},
                               {"mean_age_ms", basis.mean_age.count()},
                               {"oldest_age_ms", basis.oldest_age.count()},
                               {"workspaces", workspaces}});
--- a/src/libcaraway/router/request_admission.cpp
+++ b/src/libcaraway/router/request_admission.cpp
@@ -46,7 +46,7 @@
                                core_.parts.streams_within(), core_.random_unit()))
     {
         ++core_.overload_rejections;
-        reject("router_busy");
+        reject(router_busy);
         return false;
     }
     // An overloaded router reads late: the caller may have closed the connection already, with the
@@ -57,6 +57,8 @@
         finish("caller_left", 0, "before_sending");
         return false;
     }
+    may_begin_ =
+        core_.shares.admits(workspace_id_, is_resubmission_, core_.random_unit(), core_.now());
     core_.parts.record_admitted(workspace_id_, asked.work());
     core_.parts.record_started(workspace_id_);
     ++core_.active_streams;
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -36,9 +36,12 @@
 
 routing::refusal_cause cause_of(std::string_view reason, const routing::share_status& share)
 {
-    const bool within_share = share.largest_used() < 1;
-    return found_no_place(reason) && within_share ? routing::refusal_cause::engines
-                                                  : routing::refusal_cause::other;
+    if (reason == router_busy)
+    {
+        return routing::refusal_cause::processor;
+    }
+    return found_no_place(reason) && !share.is_beyond() ? routing::refusal_cause::engines
+                                                        : routing::refusal_cause::other;
 }
 
 }  // namespace
@@ -208,7 +211,7 @@
         line.add("returned", is_resubmission_);
         const auto share = share_status();
         line.add("fill", round_to_hundredths(share.share_used));
-        line.add("ahead", round_to_hundredths(share.excess_ratio));
+        line.add("may_begin", may_begin_);
     }
     if (!tried_.empty())
     {
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -336,7 +336,8 @@
     {
         return {};
     }
-    return core_.shares.status(workspace_id_, is_resubmission_, core_.now());
+    return core_.shares.status(
+        workspace_id_, {.resubmitted = is_resubmission_, .admitted = may_begin_}, core_.now());
 }
 
 double request_session::share_tokens() const
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -8,6 +8,9 @@
 namespace caraway::router
 {
 
+/// Reason of a refusal for lack of processor time.
+inline constexpr std::string_view router_busy = "router_busy";
+
 /// One request from its arrival to its end: parsed, placed at an upstream, sent, answered. The
 /// pending callbacks (connection, caller's exchange) keep the session alive.
 class request_session : public std::enable_shared_from_this<request_session>
@@ -179,6 +182,8 @@
     bool is_resubmission_ = false;
     bool counted_as_served_ = false;
     bool admitted_ = false;
+    /// See workspace_shares::admits.
+    bool may_begin_ = true;
     bool answer_begun_ = false;
     bool ended_ = false;
     /// Computed on first use, as few requests need it.
--- a/src/libcaraway/routing/admission.hpp
+++ b/src/libcaraway/routing/admission.hpp
@@ -15,30 +15,24 @@
     double engine_wait = 0.6;
     /// Longest wait in the router's queue for such a request.
     double queue_time = 0.5;
-    /// Longest wait at an engine for a request beyond its workspace's share while no workspace is
-    /// backlogged: such a request uses capacity that would otherwise be idle.
+    /// Longest wait at an engine for a request beyond its workspace's share while all demands fit:
+    /// such a request uses capacity that would otherwise be idle.
     double engine_wait_beyond = 0.6;
-    /// The same while some workspace is backlogged.
+    /// The same while they don't.
     double engine_wait_contended = 0.25;
     /// Longest wait in the router's queue for a request beyond its workspace's share.
     double queue_time_beyond = 0.12;
-    /// Fraction of an engine's slots open to requests beyond their workspace's share while no
-    /// workspace is backlogged. The rest is reserved so that requests within their share find a
-    /// slot at once.
+    /// Fraction of an engine's slots open to requests beyond their workspace's share while all
+    /// demands fit. The rest is reserved so that requests within their share find a slot at once.
     double slot_share_beyond = 0.95;
-    /// The same while some workspace is backlogged.
+    /// The same while they don't, for requests that may begin.
     double slot_share_contended = 0.65;
+    /// The same for those that may not: engines that are this empty would idle otherwise.
+    double slot_share_idle = 0.5;
     /// Tokens of shared prompt parts that an engine may prefill again for a request beyond its
-    /// workspace's share while some workspace is backlogged. Repeated prefill takes capacity from
-    /// requests within their share.
+    /// workspace's share while demands don't fit. Repeated prefill takes capacity from requests
+    /// within their share.
     std::uint32_t repeated_tokens_contended = 300;
-    /// A workspace beyond its share is blocked once its excess ratio reaches this value. The
-    /// callers of the workspace that is behind may all be connected to one VM that cannot carry
-    /// more load; engines that idle meanwhile do not make up for that.
-    double max_excess_ratio = 1.6;
-    /// How fast engine_wait_contended and slot_share_contended shrink as the excess ratio rises
-    /// above 1.
-    double excess_slope = 3;
     /// Requests that may wait in one router's queue.
     std::size_t max_queue_length = 200;
 };
--- a/src/libcaraway/routing/digest.cpp
+++ b/src/libcaraway/routing/digest.cpp
@@ -40,7 +40,7 @@
     for (const auto& [id, usage] : usages)
     {
         const bool has_refusals = usage.refused > 0;
-        out.array(has_refusals ? 5 : 3);
+        out.array(has_refusals ? 7 : 3);
         out.text(id.str());
         out.unsigned_integer(static_cast<std::uint64_t>(usage.demanded));
         out.unsigned_integer(static_cast<std::uint64_t>(usage.served));
@@ -48,6 +48,8 @@
         {
             out.unsigned_integer(static_cast<std::uint64_t>(usage.refused));
             out.unsigned_integer(static_cast<std::uint64_t>(usage.held_by_engines));
+            out.unsigned_integer(static_cast<std::uint64_t>(usage.held_by_processor));
+            out.unsigned_integer(static_cast<std::uint64_t>(usage.serving_rate));
         }
     }
 }
--- a/src/libcaraway/routing/digest_decode.cpp
+++ b/src/libcaraway/routing/digest_decode.cpp
@@ -3,6 +3,8 @@
 #include "libcaraway/routing/digest.hpp"
 #include "libcaraway/routing/digest_format.hpp"
 
+#include <algorithm>
+#include <cmath>
 #include <optional>
 
 namespace caraway::routing
@@ -92,23 +94,40 @@
         });
 }
 
+/// Counts that no router can have are taken for the nearest possible ones.
+double read_tokens(cbor_reader& in)
+{
+    constexpr double most = 1e15;
+    const double tokens = in.real();
+    return std::isnan(tokens) ? 0 : std::clamp(tokens, 0.0, most);
+}
+
 workspace_usages read_usages(cbor_reader& in)
 {
     constexpr std::uint64_t without_refusals = 3;
     constexpr std::uint64_t with_refusals = 5;
+    constexpr std::uint64_t with_serving_rate = 7;
     workspace_usages usages;
     read_items(in,
                [&]
                {
                    const auto size = in.array(without_refusals);
                    auto id = read_id<base::workspace_id>(in);
-                   workspace_usage usage{.demanded = in.real(), .served = in.real()};
+                   workspace_usage usage{.demanded = read_tokens(in), .served = read_tokens(in)};
                    if (size >= with_refusals)
                    {
-                       usage.refused = in.real();
-                       usage.held_by_engines = in.real();
+                       usage.refused = read_tokens(in);
+                       usage.held_by_engines = read_tokens(in);
+                   }
+                   usage.serving_rate = -1;
+                   if (size >= with_serving_rate)
+                   {
+                       usage.held_by_processor = read_tokens(in);
+                       usage.serving_rate = read_tokens(in);
                    }
-                   in.skip(size - (size >= with_refusals ? with_refusals : without_refusals));
+                   in.skip(size - (size >= with_serving_rate ? with_serving_rate
+                                   : size >= with_refusals   ? with_refusals
+                                                             : without_refusals));
                    usages.insert_or_assign(usages.end(), std::move(id), usage);
                });
     return usages;
--- a/src/libcaraway/routing/engines/memory_guard.cpp
+++ b/src/libcaraway/routing/engines/memory_guard.cpp
@@ -55,6 +55,14 @@
     part_end_ = part_begin_ + weight_of_held * own_held + weight_of_each;
 }
 
+double memory_guard::part_taken(const engine_capacity& engine, const upstream_load& load)
+{
+    const double slots = static_cast<double>(load.running) / std::max(1U, engine.slots);
+    const double usable = usable_kv_fraction * static_cast<double>(engine.kv_tokens);
+    const double memory = usable > 0 ? static_cast<double>(load.held_tokens) / usable : 0;
+    return std::max(slots, memory);
+}
+
 bool memory_guard::has_room(const engine_capacity& engine, const base::upstream_id& id,
                             const known_load& load, std::uint64_t tokens) const
 {
--- a/src/libcaraway/routing/engines/memory_guard.hpp
+++ b/src/libcaraway/routing/engines/memory_guard.hpp
@@ -28,6 +28,10 @@
     void update(const load_tracker& loads, const base::node_id& self,
                 std::chrono::milliseconds digest_period);
 
+    /// The part of the engine's slots or of its usable memory that the load takes, whichever is
+    /// larger; above 1 while requests wait there.
+    static double part_taken(const engine_capacity& engine, const upstream_load& load);
+
     /// Whether a request that needs `tokens` fits into the engine.
     bool has_room(const engine_capacity& engine, const base::upstream_id& id,
                   const known_load& load, std::uint64_t tokens) const;
--- a/src/libcaraway/routing/shares/share_options.hpp
+++ b/src/libcaraway/routing/shares/share_options.hpp
@@ -13,18 +13,24 @@
     std::chrono::milliseconds peer_lifetime{4000};
     /// Longest time for which an allocation is reused; computing one sorts all workspaces.
     std::chrono::milliseconds refresh_interval{100};
-    /// A workspace is backlogged while it is served less than this fraction of its demand.
-    double backlogged_below = 0.92;
-    /// What engines hold up, as a fraction of what they serve: the reserve rises while it is more
-    /// than this, and falls while it is less, so that nothing stays reserved for nobody.
-    double held_tolerated = 0.05;
-    /// Largest such fraction that counts.
-    double max_held = 0.25;
-    /// Change of the reserve per second, by the difference of the two fractions.
-    double reserve_gain = 10;
-    /// A workspace yields by the whole reserve once it was served this much more than its
-    /// attainable share, as a fraction of it.
-    double full_yield_excess = 0.67;
+    /// Part of the engines that workspaces beyond their configured share keep busy while demands
+    /// don't fit. The rest is kept free, so that requests within their share find a place at once.
+    double fullness_beyond = 0.65;
+    /// The same up to the configured share: above 1, so that each place that becomes free finds a
+    /// request.
+    double fullness_within = 1.15;
+    /// How strongly the limits follow the difference between the fullness and its aim.
+    double fullness_gain = 1;
+    /// By how much a workspace's limit is raised that was served nothing of late; lowered likewise
+    /// for one that was served more than the others.
+    double catch_up = 0.5;
+    double min_weight = 0.1;
+    /// Part of what a workspace asks that is refused within the last second while it waits.
+    double waiting_above = 0.02;
+    /// Others may have this much more than a workspace that a router's processor holds back.
+    double max_gap = 1.5;
+    /// Time constant of the smoothed occupancy: about the time over which serving rates are taken.
+    std::chrono::milliseconds occupancy_memory{500};
 };
 
 }  // namespace caraway::routing::shares
--- a/src/libcaraway/routing/shares/usage_windows.cpp
+++ b/src/libcaraway/routing/shares/usage_windows.cpp
@@ -56,6 +56,7 @@
     const auto newest = bucket_number(now);
     advance(counts, newest);
     workspace_usage sum;
+    double recently_served = 0;
     for (std::size_t age = 0; age < bucket_count; ++age)
     {
         auto bucket = counts.buckets[(static_cast<std::size_t>(newest) - age) % bucket_count];
@@ -63,13 +64,25 @@
         {
             bucket.refused = 0;
             bucket.held_by_engines = 0;
+            bucket.held_by_processor = 0;
         }
+        recently_served += age < static_cast<std::size_t>(rate_buckets) ? bucket.served : 0;
         sum += bucket;
     }
     sum.served = std::max(0.0, sum.served);
+    sum.serving_rate = std::max(0.0, recently_served) / recent_seconds(now);
     return sum;
 }
 
+/// Time that the newest `rate_buckets` buckets cover so far.
+double usage_windows::recent_seconds(base::time_point now) const
+{
+    using real_seconds = std::chrono::duration<double>;
+    const base::duration length = window_ / static_cast<int>(bucket_count);
+    const auto newest = now.time_since_epoch() % length;
+    return real_seconds((rate_buckets - 1) * length + newest).count();
+}
+
 void usage_windows::advance(sliding_window& counts, std::int64_t bucket)
 {
     const auto expired_buckets =
--- a/src/libcaraway/routing/shares/usage_windows.hpp
+++ b/src/libcaraway/routing/shares/usage_windows.hpp
@@ -17,6 +17,8 @@
     /// Buckets in which refusals count: 0.5 to 1 s of a window of 4 s. A workspace that waits is
     /// refused once a second or more often; one that was refused earlier may be served by now.
     static constexpr std::size_t refusal_buckets = 2;
+    /// Buckets that the serving rate is taken from.
+    static constexpr int rate_buckets = 3;
 
 public:
     /// The part of the window in which refusals count.
@@ -43,6 +45,7 @@
 
     std::int64_t bucket_number(base::time_point now) const;
     workspace_usage total(sliding_window& counts, base::time_point now) const;
+    double recent_seconds(base::time_point now) const;
     static void advance(sliding_window& counts, std::int64_t bucket);
 
     std::chrono::milliseconds window_;
--- a/src/libcaraway/routing/shares/workspace_usage.hpp
+++ b/src/libcaraway/routing/shares/workspace_usage.hpp
@@ -14,10 +14,14 @@
     double demanded = 0;
     /// Requests that were sent to engines.
     double served = 0;
+    /// The same per second, over the last second or so. Negative in a peer's counts that lack it.
+    double serving_rate = 0;
     /// Requests that were refused within the last second or so, rather than within the window.
     double refused = 0;
-    /// Those of them that no engine had a place for on the terms of a workspace within its share.
+    /// Those of them that might have begun by their workspace's limit, and found no place.
     double held_by_engines = 0;
+    /// Those of them that a router's processor had no time for.
+    double held_by_processor = 0;
 
     workspace_usage& operator+=(const workspace_usage& other);
 };
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -1,12 +1,29 @@
 #include "libcaraway/routing/workspace_shares.hpp"
 
+#include "libcaraway/routing/shares/max_min.hpp"
+
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace caraway::routing
 {
 
+namespace
+{
+
+double even_share_of(const workspace_usages& usages, double capacity)
+{
+    std::vector<shares::weighted_demand> demands;
+    demands.reserve(usages.size());
+    for (const auto& [id, usage] : usages)
+    {
+        demands.push_back({.demand = usage.demanded});
+    }
+    return shares::max_min_level(std::move(demands), capacity);
+}
+
+}  // namespace
+
 workspace_shares::workspace_shares(share_options options) : options_(options), own_(options.window)
 {
 }
@@ -18,14 +35,35 @@
 
 void workspace_shares::set_window(std::chrono::milliseconds window)
 {
+    options_.window = window;
     own_.set_window(window);
 }
 
+void workspace_shares::record_occupancy(double taken, base::time_point now)
+{
+    limit_.record_occupancy(taken, now, options_);
+}
+
 void workspace_shares::record_demand(const base::workspace_id& id, double tokens,
                                      base::time_point now)
 {
     own_.current(id, now).demanded += tokens;
     fleet_usage_[id].demanded += tokens;
+    credits_.record_arrival(id, tokens, now);
+}
+
+bool workspace_shares::admits(const base::workspace_id& id, bool resubmitted, double random_unit,
+                              base::time_point now)
+{
+    const double allowed = limit(id, now);
+    if (std::isinf(allowed))
+    {
+        return true;
+    }
+    const auto grown = growths_.find(id);
+    const double growth = grown == growths_.end() ? 1 : grown->second;
+    return credits_.admits(id, resubmitted, growth * fleet_usage_[id].demanded, allowed,
+                           random_unit, now);
 }
 
 void workspace_shares::record_served(const base::workspace_id& id, double tokens,
@@ -48,15 +86,34 @@
 void workspace_shares::record_refused(const base::workspace_id& id, double tokens,
                                       refusal_cause cause, base::time_point now)
 {
-    const double held = cause == refusal_cause::engines ? tokens : 0;
-    const workspace_usage refusal{.refused = tokens, .held_by_engines = held};
+    const workspace_usage refusal{.refused = tokens,
+                                  .held_by_engines = cause == refusal_cause::engines ? tokens : 0,
+                                  .held_by_processor =
+                                      cause == refusal_cause::processor ? tokens : 0};
     own_.current(id, now) += refusal;
     fleet_usage_[id] += refusal;
 }
 
+void workspace_shares::record_unread(const base::workspace_id& id, base::time_point now)
+{
+    const double tokens = credits_.mean_tokens(id);
+    if (tokens > 0)
+    {
+        record_demand(id, tokens, now);
+        record_refused(id, tokens, refusal_cause::processor, now);
+    }
+}
+
 void workspace_shares::set_peer(const base::node_id& peer, workspace_usages usages,
                                 base::time_point now)
 {
+    for (auto& [id, usage] : usages)
+    {
+        if (usage.serving_rate < 0)
+        {
+            usage.serving_rate = usage.served / own_.window_seconds();
+        }
+    }
     peers_.set(peer, std::move(usages), now);
 }
 
@@ -65,53 +122,43 @@
     return own_.totals(now);
 }
 
-double workspace_shares::share_used(const base::workspace_id& id, base::time_point now)
+double workspace_shares::limit(const base::workspace_id& id, base::time_point now)
 {
-    return status(id, false, now).share_used;
-}
-
-double workspace_shares::excess_ratio(const base::workspace_id& id, base::time_point now)
-{
-    return status(id, false, now).excess_ratio;
-}
-
-double workspace_shares::excess_over_backlogged(const base::workspace_id& id) const
-{
-    if (!allocation_.any_backlogged)
+    if (capacity_ <= 0)
     {
-        return 0;
+        return std::numeric_limits<double>::infinity();
     }
-    return std::isinf(allocation_.min_backlogged_served)
-               ? 1
-               : fleet_usage_.at(id).served / allocation_.min_backlogged_served;
+    refresh(now);
+    return limit_.of(id);
 }
 
-share_status workspace_shares::status(const base::workspace_id& id, bool resubmitted,
+share_status workspace_shares::status(const base::workspace_id& id, share_request request,
                                       base::time_point now)
 {
     if (capacity_ <= 0)
     {
         return {};
     }
-    if (now >= last_allocation_ + options_.refresh_interval)
+    refresh(now);
+    const auto& usage = fleet_usage_[id];
+    const double counted =
+        request.resubmitted ? std::max(usage.served, usage.demanded) : usage.served;
+    return {.share_used = counted / even_share_,
+            .limit_used = counted / limit_.of(id),
+            .standing = standing(request)};
+}
+
+share_standing workspace_shares::standing(const share_request& request) const
+{
+    if (!limit_.is_finite())
     {
-        allocate(now);
+        return share_standing::unlimited;
     }
-    const auto& usage = fleet_usage_[id];
-    const double counted = resubmitted ? std::max(usage.served, usage.demanded) : usage.served;
-    const double share_used = counted / allocation_.even_share;
-    const double attainable_used = counted / allocation_.attainable_share;
-    const double beyond_attainable = (attainable_used - 1) / options_.full_yield_excess;
-    double excess = share_used < 1 ? 0 : excess_over_backlogged(id);
-    if (attainable_used < 1)
+    if (request.admitted)
     {
-        excess = std::min(1.0, excess);
+        return share_standing::admitted;
     }
-    return {.share_used = share_used,
-            .attainable_used = attainable_used,
-            .yield = reserve_.value() * std::clamp(beyond_attainable, 0.0, 1.0),
-            .excess_ratio = excess,
-            .resubmitted = resubmitted};
+    return limit_.has_ceiling() ? share_standing::held_back : share_standing::beyond;
 }
 
 std::vector<workspace_view> workspace_shares::highest_demand(std::size_t count,
@@ -127,21 +174,25 @@
     views.resize(std::min(count, views.size()));
     for (auto& view : views)
     {
-        view.status = status(view.id, false, now);
+        view.status = status(view.id, {}, now);
         view.fleet_total = fleet_usage_[view.id];
+        view.limit = limit(view.id, now);
     }
     return views;
 }
 
 share_basis workspace_shares::basis(base::time_point now)
 {
-    return {.attainable_share = allocation_.attainable_share,
-            .reserve = reserve_.value(),
-            .capacity = capacity_ * own_.window_seconds(),
-            .total = shares::sum_of(fleet_usage_),
-            .even_share = allocation_.even_share,
-            .backlogged = allocation_.any_backlogged,
-            .min_backlogged_served = allocation_.min_backlogged_served,
+    workspace_usage total;
+    for (const auto& [id, usage] : fleet_usage_)
+    {
+        total += usage;
+    }
+    return {.capacity = capacity_ * own_.window_seconds(),
+            .even_share = even_share_,
+            .limit = limit_.even(),
+            .occupancy = limit_.occupancy(),
+            .total = total,
             .mean_age = peers_.mean_age(now),
             .oldest_age = peers_.oldest_age(now)};
 }
@@ -153,15 +204,35 @@
     gap_.add_second(usages);
 }
 
-void workspace_shares::allocate(base::time_point now)
+void workspace_shares::refresh(base::time_point now)
 {
-    const auto elapsed = now - last_allocation_;
-    last_allocation_ = now;
-    fleet_usage_ = own_usages(now);
+    if (now < last_refresh_ + options_.refresh_interval)
+    {
+        return;
+    }
+    last_refresh_ = now;
     peers_.expire(options_.peer_lifetime, now);
+    fleet_usage_ = own_usages(now);
+    set_growths(now);
     peers_.add_to(fleet_usage_);
-    reserve_.update(shares::sum_of(fleet_usage_), elapsed, options_);
-    allocation_ = shares::allocate(fleet_usage_, capacity_ * own_.window_seconds(), options_);
+    const double capacity = capacity_ * own_.window_seconds();
+    even_share_ = even_share_of(fleet_usage_, capacity);
+    auto expected = fleet_usage_;
+    for (const auto& [id, growth] : growths_)
+    {
+        expected[id].demanded *= growth;
+    }
+    limit_.update(expected, capacity, options_);
+}
+
+/// Of the workspaces that ask at this router: peers' counts say only what was asked on average.
+void workspace_shares::set_growths(base::time_point now)
+{
+    growths_.clear();
+    for (const auto& [id, usage] : fleet_usage_)
+    {
+        growths_[id] = credits_.growth(id, usage.demanded, own_.window_seconds(), now);
+    }
 }
 
 }  // namespace caraway::routing
--- a/tests/shares/shares_model.hpp
+++ b/tests/shares/shares_model.hpp
@@ -77,6 +77,7 @@
         int router = 0;
         base::time_point arrived{};
         bool resubmitted = false;
+        bool may_begin = true;
     };
 
     struct router_state
@@ -108,6 +109,8 @@
     void expire(router_state& router);
     void refuse(const request& refused, routing::refusal_cause cause);
     void send_digests();
+    routing::share_status status(const request& of);
+    void record_occupancy();
     void count_idle();
     base::workspace_id workspace(std::size_t source) const;
     second_usage& current_usage(std::size_t source);
