Requests: one whose caller left before it was read isn't placed, whatever limit is in force

Cause: a loop accepts 64 connections an iteration, so at 30 ms and 2,700 callers a second the backlog grows older than callers wait. Whether the caller is still there was asked only while the VM is overloaded, which late connections alone don't tell; plain services never asked. Change: it is asked before each placement.

--- a/src/libcaraway/router/request_admission.cpp
+++ b/src/libcaraway/router/request_admission.cpp
@@ -37,6 +37,14 @@
 {
     const auto asked = effort();
     core_.parts.record_asked(workspace_id_, asked.work());
+    // Connections wait in the backlog: the caller may have closed this one already, with the close
+    // still unread behind the request. Such a request must not reach an upstream.
+    if (request_->caller_disconnected())
+    {
+        request_->abort();
+        finish("caller_left", 0, "before_sending");
+        return false;
+    }
     if (!service_->engine)
     {
         core_.parts.record_admitted(workspace_id_, asked.work());
@@ -49,14 +57,6 @@
         reject(router_busy);
         return false;
     }
-    // An overloaded router reads late: the caller may have closed the connection already, with the
-    // close still unread behind the request. Such a request must not reach an upstream.
-    if (core_.overload.overloaded() && request_->caller_disconnected())
-    {
-        request_->abort();
-        finish("caller_left", 0, "before_sending");
-        return false;
-    }
     may_begin_ =
         core_.shares.admits(workspace_id_, is_resubmission_, core_.random_unit(), core_.now());
     core_.parts.record_admitted(workspace_id_, asked.work());
--- a/tests/users_platform/test_late_placements.cpp
+++ b/tests/users_platform/test_late_placements.cpp
@@ -83,4 +83,28 @@
     BOOST_TEST(engine.requests_received == static_cast<int>(running.size()));
 }
 
+// More connections come than a loop accepts, so callers give up in the backlog; no limit is in
+// force.
+BOOST_AUTO_TEST_CASE(a_request_whose_caller_left_before_it_was_read_is_not_placed)
+{
+    accept_configuration(1, {{.prefix = "/e/", .kind = "streaming", .service = "engines"},
+                             {.prefix = "/p/", .kind = "safe", .service = "plain"}});
+    stand_in_runner plain{loop, timers, "i-2"};
+    add_upstream(engine, "engines");
+    add_upstream(plain);
+    auto& router = start_router();
+
+    for (int caller = 0; caller < 20; ++caller)
+    {
+        const auto target = caller % 2 == 0 ? "/e/" : "/p/";
+        send_request(router, target, "left-" + std::to_string(caller))->close();
+    }
+    const auto staying = send_request(router, "/p/", "stays");
+
+    BOOST_TEST(receives_status(staying, "200"));
+    settle();
+    BOOST_TEST(engine.requests_received == 0);
+    BOOST_TEST(plain.requests_received == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
