--- a/tests/routing/test_workspace_shares.cpp
+++ b/tests/routing/test_workspace_shares.cpp
@@ -167,7 +167,7 @@
     shares.record_served(third, 1800, now);
     shares.record_refused(large, 17000, routing::refusal_cause::other, now);
     shares.record_refused(third, 3200, routing::refusal_cause::processor, now);
-    shares.record_occupancy(0.4, now);
+    shares.record_occupancy(0.5, now);
 
     BOOST_TEST(shares.limit(large, now) <= 1.5 * 1800);
     BOOST_TEST(open_slots(not_admitted(shares, large)) == 0);
