Door of a VM, Log: decisions in a module of their own, and what turned callers away is told

Cause: lines could not tell a door that is shut from one nobody comes to: the bound of new connections, connections whose callers had left, ticks in which the listening socket was closed, and what is left of the budget for refusals were in no line and no metric. Change: entry/door_policy has the decisions of router/caller_door, unchanged; line 'work' has connection_limit, refusal_work_left, left_unread and closed; two gauges.

--- a/src/libcaraway/http/door.hpp
+++ b/src/libcaraway/http/door.hpp
@@ -19,8 +19,13 @@
     /// A complete answer, with `Connection: close`, that refuses the request that begins with these
     /// bytes, which may be none; empty if the request is to be read.
     std::function<std::optional<std::string>(std::string_view)> refusal;
-    /// A connection was accepted and either refused or passed on.
-    std::function<void(bool refused)> on_accepted;
+    /// A connection was refused with an answer.
+    std::function<void()> on_refused;
+    /// A connection's caller had closed it before it was read.
+    std::function<void()> on_left;
+    /// The listening socket was closed until the next call of `listener::resume`, as no more
+    /// connections may be accepted.
+    std::function<void()> on_closed;
 };
 
 }  // namespace caraway::http
--- a/src/libcaraway/http/listener.cpp
+++ b/src/libcaraway/http/listener.cpp
@@ -183,9 +183,10 @@
             return;
         }
         decide(handle);
-        if (!accepts_more())
+        if (!refusing_ && !accepts_more())
         {
             refuse();
+            door_.on_closed();
         }
     }
 }
@@ -207,7 +208,7 @@
     if (size == 0 || (size < 0 && !is_temporary(errno)))
     {
         ::close(handle);
-        door_.on_accepted(true);
+        door_.on_left();
         return;
     }
     const std::string_view first_bytes(scratch.data(),
@@ -224,7 +225,10 @@
     {
         add_connection(handle, first_bytes, refusal);
     }
-    door_.on_accepted(refusal.has_value());
+    if (refusal)
+    {
+        door_.on_refused();
+    }
 }
 
 void listener::set_door(door entry)
--- a/src/libcaraway/router/caller_door.cpp
+++ b/src/libcaraway/router/caller_door.cpp
@@ -9,7 +9,6 @@
 namespace
 {
 
-using routing::entry::part_standing;
 using std::chrono::milliseconds;
 
 /// Callers wait for as much of the time that they have left as they honour.
@@ -28,23 +27,25 @@
 
 }  // namespace
 
-caller_door::caller_door(core& shared) : core_(shared) {}
+caller_door::caller_door(core& shared) : core_(shared), policy_(shared.overload, shared.parts) {}
 
 http::door caller_door::hooks()
 {
     return {.is_narrow = [this] { return is_narrow(); },
-            .accepts_more = [this] { return accepts_more(); },
+            .accepts_more = [this] { return policy_.accepts_more(); },
             .refusal = [this](std::string_view first_bytes) { return refusal(first_bytes); },
-            .on_accepted =
-                [this](bool refused)
+            .on_refused = [this] { policy_.record_refusal(); },
+            .on_left = [this] { policy_.record_left(); },
+            .on_closed =
+                [this]
             {
-                on_accepted(refused);
+                policy_.record_closed();
             }};
 }
 
 void caller_door::advance(base::duration elapsed)
 {
-    budget_.advance(elapsed, core_.parts.take_admitted());
+    policy_.advance(elapsed);
 }
 
 bool caller_door::admits_more()
@@ -54,12 +55,7 @@
 
 bool caller_door::is_narrow() const
 {
-    return core_.overload.overloaded() && !core_.protocol.key_field.empty();
-}
-
-bool caller_door::accepts_more() const
-{
-    return budget_.may_refuse() || core_.overload.is_below_min_connections();
+    return policy_.is_narrow() && !core_.protocol.key_field.empty();
 }
 
 std::optional<std::string> caller_door::refusal(std::string_view first_bytes)
@@ -67,14 +63,14 @@
     const auto head = http::raw_head::find(first_bytes);
     if (!head)
     {
-        core_.overload.record_connection(core_.active_streams);
+        policy_.record_undecided(core_.active_streams);
         return std::nullopt;
     }
     if (refuses(head->field(core_.protocol.key_field)))
     {
         return refusal_text(*head);
     }
-    core_.overload.record_connection(core_.active_streams);
+    policy_.record_undecided(core_.active_streams);
     return std::nullopt;
 }
 
@@ -103,20 +99,7 @@
 
 bool caller_door::refuses(const base::workspace_id& id)
 {
-    const auto standing = core_.parts.standing(id);
-    if (standing == part_standing::within)
-    {
-        return false;
-    }
-    if (standing == part_standing::ahead)
-    {
-        ++refused_ahead_;
-    }
-    else if (!core_.overload.has_room(core_.active_streams))
-    {
-        ++refused_full_;
-    }
-    else
+    if (policy_.decide(id, core_.active_streams) == routing::entry::door_verdict::accepted)
     {
         return false;
     }
@@ -138,12 +121,4 @@
            "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 }
 
-void caller_door::on_accepted(bool refused)
-{
-    if (refused)
-    {
-        budget_.record_refusal();
-    }
-}
-
 }  // namespace caraway::router
--- a/src/libcaraway/router/caller_door.hpp
+++ b/src/libcaraway/router/caller_door.hpp
@@ -3,7 +3,7 @@
 #include "libcaraway/http/door.hpp"
 #include "libcaraway/http/raw_head.hpp"
 #include "libcaraway/router/core.hpp"
-#include "libcaraway/routing/entry/work_budget.hpp"
+#include "libcaraway/routing/entry/door_policy.hpp"
 
 namespace caraway::router
 {
@@ -26,33 +26,23 @@
 
     const routing::entry::work_budget& budget() const
     {
-        return budget_;
+        return policy_.budget();
     }
-    /// Requests refused at the door because their workspaces were given more than their part, and
-    /// because there was no room beside those within theirs. Totals.
-    std::uint64_t refused_ahead() const
+    const routing::entry::door_counts& counts() const
     {
-        return refused_ahead_;
-    }
-    std::uint64_t refused_full() const
-    {
-        return refused_full_;
+        return policy_.counts();
     }
 
 private:
     bool is_narrow() const;
-    bool accepts_more() const;
     std::optional<std::string> refusal(std::string_view first_bytes);
     /// Whether a request with this key, and one of this workspace, is refused now.
     bool refuses(std::string_view key);
     bool refuses(const base::workspace_id& id);
     std::string refusal_text(const http::raw_head& head);
-    void on_accepted(bool refused);
 
     core& core_;
-    routing::entry::work_budget budget_;
-    std::uint64_t refused_ahead_ = 0;
-    std::uint64_t refused_full_ = 0;
+    routing::entry::door_policy policy_;
 };
 
 }  // namespace caraway::router
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -56,9 +56,7 @@
         std::uint64_t digests = 0;
         /// Times that the listener refused new connections until the next tick.
         std::uint64_t accept_pauses = 0;
-        /// Requests refused at the door.
-        std::uint64_t refused_ahead = 0;
-        std::uint64_t refused_full = 0;
+        routing::entry::door_counts door;
         std::uint64_t lines_dropped = 0;
     };
 
--- a/src/libcaraway/router/daemon_answers.cpp
+++ b/src/libcaraway/router/daemon_answers.cpp
@@ -172,11 +172,19 @@
     set_gauge(
         "caraway_door_refused_ahead",
         "Requests refused at the door as their workspaces had more than their part, in total.",
-        static_cast<double>(door_.refused_ahead()));
+        static_cast<double>(door_.counts().refused_ahead));
     set_gauge("caraway_door_refused_full",
               "Requests of workspaces beyond their part refused at the door for lack of room, in "
               "total.",
-              static_cast<double>(door_.refused_full()));
+              static_cast<double>(door_.counts().refused_full));
+    set_gauge("caraway_door_left",
+              "Connections whose callers had closed them before they were read at the door, in "
+              "total.",
+              static_cast<double>(door_.counts().left));
+    set_gauge("caraway_door_closed",
+              "Times that the listening socket was closed until the next tick, as the budget for "
+              "refusals was spent, in total.",
+              static_cast<double>(door_.counts().closed));
     set_gauge("caraway_admitted_work",
               "Work of the requests admitted per second, in events relayed, smoothed.",
               door_.budget().work_rate());
--- a/src/libcaraway/router/daemon_report.cpp
+++ b/src/libcaraway/router/daemon_report.cpp
@@ -69,26 +69,30 @@
             .chunks = core_.chunks_relayed,
             .digests = link_.digests_received(),
             .accept_pauses = callers_->refusals(),
-            .refused_ahead = door_.refused_ahead(),
-            .refused_full = door_.refused_full(),
+            .door = door_.counts(),
             .lines_dropped = core_.log.dropped()};
 }
 
 void daemon::log_work(const work_counters& before, const work_counters& after) const
 {
-    core_.log.line("work", {{"requests", after.requests - before.requests},
-                            {"refused", after.rejected - before.rejected},
-                            {"pieces", after.chunks - before.chunks},
-                            {"digests", after.digests - before.digests},
-                            {"refusals", after.accept_pauses - before.accept_pauses},
-                            {"refused_ahead", after.refused_ahead - before.refused_ahead},
-                            {"refused_full", after.refused_full - before.refused_full},
-                            {"admitted_work", round_to_integer(door_.budget().work_rate())},
-                            {"lines_dropped", after.lines_dropped - before.lines_dropped},
-                            {"streams", core_.active_streams},
-                            {"limit", limit_or_minus_one(core_.overload.limit())},
-                            {"binds", core_.overload.binding()},
-                            {"latest_ms", max_tick_delay_.count()}});
+    core_.log.line("work",
+                   {{"requests", after.requests - before.requests},
+                    {"refused", after.rejected - before.rejected},
+                    {"pieces", after.chunks - before.chunks},
+                    {"digests", after.digests - before.digests},
+                    {"refusals", after.accept_pauses - before.accept_pauses},
+                    {"refused_ahead", after.door.refused_ahead - before.door.refused_ahead},
+                    {"refused_full", after.door.refused_full - before.door.refused_full},
+                    {"left_unread", after.door.left - before.door.left},
+                    {"closed", after.door.closed - before.door.closed},
+                    {"refusal_work_left", round_to_integer(door_.budget().left())},
+                    {"admitted_work", round_to_integer(door_.budget().work_rate())},
+                    {"lines_dropped", after.lines_dropped - before.lines_dropped},
+                    {"streams", core_.active_streams},
+                    {"limit", limit_or_minus_one(core_.overload.limit())},
+                    {"connection_limit", limit_or_minus_one(core_.overload.connection_limit())},
+                    {"binds", core_.overload.binding()},
+                    {"latest_ms", max_tick_delay_.count()}});
 }
 
 void daemon::log_shares(base::time_point now)
--- a/src/libcaraway/routing/entry/overload_guard.hpp
+++ b/src/libcaraway/routing/entry/overload_guard.hpp
@@ -129,6 +129,11 @@
     {
         return streams_.value();
     }
+    /// The same for new connections per tick.
+    std::size_t connection_limit() const
+    {
+        return connections_.value();
+    }
 
 private:
     overload_options options_;
--- a/src/libcaraway/routing/entry/work_budget.hpp
+++ b/src/libcaraway/routing/entry/work_budget.hpp
@@ -45,6 +45,11 @@
     {
         return work_rate_;
     }
+    /// Work that refusals may still cost; negative while they have cost more than they may.
+    double left() const
+    {
+        return left_;
+    }
     /// Refusals since the start.
     std::uint64_t refusals() const
     {
--- a/tests/http/test_door.cpp
+++ b/tests/http/test_door.cpp
@@ -24,24 +24,28 @@
     bool is_narrow = true;
     std::size_t accepted = 0;
     std::size_t refused = 0;
+    std::size_t left = 0;
+    std::size_t closed = 0;
     std::size_t most_accepted = 1000;
 
     door_fixture()
     {
         listener.set_door({.is_narrow = [this] { return is_narrow; },
                            .accepts_more = [this] { return accepted < most_accepted; },
-                           .refusal = [](std::string_view bytes) -> std::optional<std::string>
+                           .refusal = [this](std::string_view bytes) -> std::optional<std::string>
                            {
+                               ++accepted;
                                const auto head = http::raw_head::find(bytes);
                                return head && head->field("Api-Key") == "flood"
                                           ? std::optional(refusal_text)
                                           : std::nullopt;
                            },
-                           .on_accepted =
-                               [this](bool was_refused)
+                           .on_refused = [this] { ++refused; },
+                           .on_left = [this] { ++left; },
+                           .on_closed =
+                               [this]
                            {
-                               ++accepted;
-                               refused += was_refused ? 1 : 0;
+                               ++closed;
                            }});
     }
 
@@ -139,7 +143,7 @@
     caller()->reset();
     caller()->close();
 
-    BOOST_TEST(becomes_true([&] { return accepted == 2; }));
+    BOOST_TEST(becomes_true([&] { return left == 2; }));
     BOOST_TEST(becomes_true([&] { return listener.connections() == 0; }));
     BOOST_TEST(requests.empty());
 }
@@ -172,6 +176,7 @@
     BOOST_TEST(becomes_true([&] { return listener.refusing(); }));
     BOOST_CHECK_THROW(caller(), boost::system::system_error);
     BOOST_TEST(listener.refusals() == 1U);
+    BOOST_TEST(closed == 1U);
 
     accepted = 0;
     listener.resume();
