Tests, Known red: doors that stay shut, a flood past its limit, and callers whom nobody counts

What callers saw: a workspace at one VM got a tenth of what one at all VMs got, and most callers found no answer.

--- a/tests/shares/shares_model.cpp
+++ b/tests/shares/shares_model.cpp
@@ -21,6 +21,9 @@
 /// A caller that was refused comes back or sends another request within this time.
 constexpr milliseconds refusal_memory{200};
 
+/// Length of the window over which shares are counted.
+constexpr int shares_window_seconds = 4;
+
 /// Workspaces that ask little.
 constexpr int background_workspaces = 8;
 
@@ -40,8 +43,8 @@
 
 shares_model::shares_model(shares_model_options options, std::vector<demand> demands)
     : options_(options), demands_(std::move(demands)), arrivals_due_(demands_.size()),
-      processor_credits_(demands_.size()), next_router_(demands_.size()),
-      routers_(static_cast<std::size_t>(options.routers)),
+      processor_credits_(demands_.size()), door_credits_(demands_.size()),
+      next_router_(demands_.size()), routers_(static_cast<std::size_t>(options.routers)),
       engines_(static_cast<std::size_t>(options.engines)), now_(start_time)
 {
     for (auto& router : routers_)
@@ -110,6 +113,49 @@
         expire(router);
     }
     count_idle();
+    record_over_limit();
+}
+
+/// Once a second: limits follow what engines serve, and so does service after them.
+void shares_model::record_over_limit()
+{
+    const auto elapsed = now_ - start_time;
+    if (elapsed % 1s != 0ms)
+    {
+        return;
+    }
+    double worst = 0;
+    for (std::size_t source = 0; source < demands_.size(); ++source)
+    {
+        const int second = static_cast<int>(elapsed / 1s) - 1;
+        if (!usages_.at(demands_[source].workspace, second).waited)
+        {
+            continue;
+        }
+        double begun = 0;
+        for (int age = 0; age < shares_window_seconds; ++age)
+        {
+            begun += usages_.at(demands_[source].workspace, std::max(0, second - age)).begun;
+        }
+        std::vector<double> limits;
+        for (auto& router : routers_)
+        {
+            limits.push_back(router.shares.limit(workspace(source), now_));
+        }
+        std::nth_element(limits.begin(), limits.begin() + routers_.size() / 2, limits.end());
+        worst = std::max(worst, begun / limits[routers_.size() / 2]);
+    }
+    over_limit_.push_back(worst);
+}
+
+double shares_model::worst_over_limit(int from, int end) const
+{
+    double worst = 0;
+    for (int second = from; second < end; ++second)
+    {
+        worst = std::max(worst, over_limit_.at(static_cast<std::size_t>(second)));
+    }
+    return worst;
 }
 
 void shares_model::end_requests()
@@ -150,6 +196,8 @@
         arrivals_due_[source] += rate * seconds;
         auto& processor = processor_credits_[source];
         processor = std::min(processor + from.processor_limit * seconds, from.processor_limit);
+        auto& door = door_credits_[source];
+        door = std::min(door + from.door_limit * seconds, std::max(1.0, from.door_limit / 10));
         while (arrivals_due_[source] >= 1)
         {
             arrivals_due_[source] -= 1;
@@ -157,9 +205,16 @@
             next_router_[source] =
                 offset + (next_router_[source] - offset + 1) % std::max(1, from.routers);
             current_usage(source).asked += options_.tokens_per_request;
-            receive({.source = source,
-                     .router = next_router_[source] % options_.routers,
-                     .arrived = now_});
+            const request arrival{.source = source,
+                                  .router = next_router_[source] % options_.routers,
+                                  .arrived = now_};
+            if (door < 1)
+            {
+                turn_away_unread(arrival);
+                continue;
+            }
+            door -= 1;
+            receive(arrival);
         }
     }
     while (!returning_.empty() && returning_.begin()->first <= now_)
@@ -172,6 +227,12 @@
     }
 }
 
+void shares_model::turn_away_unread(const request& arrival)
+{
+    current_usage(arrival.source).waited = true;
+    last_refusal_ = now_;
+}
+
 void shares_model::receive(const request& arrival)
 {
     auto& router = routers_[static_cast<std::size_t>(arrival.router)];
--- a/tests/shares/shares_model.hpp
+++ b/tests/shares/shares_model.hpp
@@ -42,6 +42,9 @@
     std::map<std::chrono::milliseconds, double> rates;
     /// Requests per second that its VMs have processor time for; the rest is refused at once.
     double processor_limit = 1e9;
+    /// Requests per second that the door of its VM reads; the others find the listening socket
+    /// closed, so that nobody counts them. For a workspace at one router.
+    double door_limit = 1e9;
 };
 
 /// Eight workspaces that ask little, at two routers each; `rate` in requests per second.
@@ -69,6 +72,10 @@
     /// time between two times in seconds.
     double idle_while_waiting(int from, int end) const;
     const second_usage& usage(const std::string& workspace, int second) const;
+    /// Of the seconds between two times, and the workspaces that waited in them: the highest ratio
+    /// of what one began within the window of the shares to its limit, as the median router knows
+    /// it.
+    double worst_over_limit(int from, int end) const;
 
 private:
     struct request
@@ -99,6 +106,7 @@
     void end_requests();
     void arrive();
     void receive(const request& arrival);
+    void turn_away_unread(const request& arrival);
     bool place(const request& candidate);
     void place_or_enqueue(const request& candidate);
     void start(int engine, const request& placed);
@@ -112,6 +120,7 @@
     routing::share_status status(const request& of);
     void record_occupancy();
     void count_idle();
+    void record_over_limit();
     base::workspace_id workspace(std::size_t source) const;
     second_usage& current_usage(std::size_t source);
     base::node_id router_name(int index) const;
@@ -123,6 +132,7 @@
     std::vector<demand> demands_;
     std::vector<double> arrivals_due_;
     std::vector<double> processor_credits_;
+    std::vector<double> door_credits_;
     std::vector<int> next_router_;
     std::vector<router_state> routers_;
     std::vector<engine_state> engines_;
@@ -133,6 +143,8 @@
     second_usages usages_;
     /// See idle_while_waiting; by second.
     std::vector<double> idle_;
+    /// See worst_over_limit; by second.
+    std::vector<double> over_limit_;
 };
 
 }  // namespace caraway::tests
--- a/tests/entry/door_model.hpp
+++ b/tests/shut_doors/door_model.hpp
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-namespace entry_tests
+namespace shut_doors_tests
 {
 
 namespace entry = caraway::routing::entry;
@@ -93,13 +93,14 @@
     {
         return guard_;
     }
-    double lateness() const
+    /// Whether less than a fifth of a tick's work is left over.
+    bool is_on_time() const
     {
-        return backlog_ / capacity_;
+        return backlog_ < capacity_ / 5;
     }
-    double left() const
+    const entry::work_budget& budget() const
     {
-        return door_.budget().left();
+        return door_.budget();
     }
 
 private:
@@ -180,4 +181,4 @@
     bool is_open_ = true;
 };
 
-}  // namespace entry_tests
+}  // namespace shut_doors_tests
