--- a/src/libcaraway/routing/entry/overload_guard.cpp
+++ b/src/libcaraway/routing/entry/overload_guard.cpp
@@ -13,7 +13,7 @@
 /// A limit is removed after this many ticks that were on time and did not reach it.
 constexpr int calm_ticks_until_removal = 50;
 
-constexpr int max_growth_factor = 4;
+constexpr int max_growth_factor = 2;
 
 /// Fraction of a limit from which on it counts as reached.
 constexpr double reached_fraction = 0.9;
