Shares: free places are no way around the limit beside a workspace that a processor holds back

Cause: what the credits refuse begins on engines that are less than half full, unless the ceiling that a held back workspace sets is below the level of all. It is above it exactly where the held back one has about its even share and a larger flood is weighed down to a tenth, so the free places decided, and went to who asks most often. The ceiling also bounded the workspace that sets it: a demand estimated too high lowered it, and with it the ceiling, in turns. Change: while a processor holds a workspace back, what the credits refuse begins nowhere; the ceiling doesn't bound who sets it.

--- a/src/libcaraway/routing/shares/share_limit.cpp
+++ b/src/libcaraway/routing/shares/share_limit.cpp
@@ -66,6 +66,7 @@
                          const share_options& options)
 {
     weights_.clear();
+    held_back_.clear();
     ceiling_ = std::numeric_limits<double>::infinity();
     if (std::max(occupancy_, mean_occupancy_) < min_occupancy)
     {
@@ -118,6 +119,7 @@
         const bool processor_bound = usage.held_by_processor > usage.refused / 2;
         if (waits && processor_bound && usage.demanded > least_demand)
         {
+            held_back_.insert(id);
             ceiling_ = std::min(ceiling_, options.max_gap * std::max(1.0, usage.served));
         }
     }
@@ -127,12 +129,12 @@
 {
     const auto found = weights_.find(id);
     const double weight = found == weights_.end() ? 1 : found->second;
-    return std::min(ceiling_, level_ * weight);
+    return std::min(ceiling(id), level_ * weight);
 }
 
-bool share_limit::has_ceiling() const
+double share_limit::ceiling(const base::workspace_id& id) const
 {
-    return is_finite() && ceiling_ < level_;
+    return held_back_.contains(id) ? std::numeric_limits<double>::infinity() : ceiling_;
 }
 
 bool share_limit::is_finite() const
--- a/src/libcaraway/routing/shares/share_limit.hpp
+++ b/src/libcaraway/routing/shares/share_limit.hpp
@@ -6,6 +6,7 @@
 
 #include <limits>
 #include <map>
+#include <set>
 
 namespace caraway::routing::shares
 {
@@ -27,8 +28,9 @@
     double of(const base::workspace_id& id) const;
     /// Whether the demands of some workspaces are cut.
     bool is_finite() const;
-    /// Whether a workspace that a router's processor holds back bounds the others.
-    bool has_ceiling() const;
+    /// Tokens within the window that a workspace may begin in any way beside those that a router's
+    /// processor holds back; infinite if there are none, or if it is one of them.
+    double ceiling(const base::workspace_id& id) const;
     /// The limit of a workspace that had as much as the others.
     double even() const
     {
@@ -53,7 +55,8 @@
     /// Limit of a workspace of weight 1.
     double level_ = std::numeric_limits<double>::infinity();
     std::map<base::workspace_id, double> weights_;
-    /// Bound on all limits, set by a workspace that a router's processor holds back.
+    /// Workspaces that a router's processor holds back, and the bound that they set for the others.
+    std::set<base::workspace_id> held_back_;
     double ceiling_ = std::numeric_limits<double>::infinity();
 };
 
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -145,10 +145,11 @@
         request.resubmitted ? std::max(usage.served, usage.demanded) : usage.served;
     return {.share_used = counted / even_share_,
             .limit_used = counted / limit_.of(id),
-            .standing = standing(request)};
+            .standing = standing(id, request)};
 }
 
-share_standing workspace_shares::standing(const share_request& request) const
+share_standing workspace_shares::standing(const base::workspace_id& id,
+                                          const share_request& request) const
 {
     if (!limit_.is_finite())
     {
@@ -158,7 +159,7 @@
     {
         return share_standing::admitted;
     }
-    return limit_.has_ceiling() ? share_standing::held_back : share_standing::beyond;
+    return std::isinf(limit_.ceiling(id)) ? share_standing::beyond : share_standing::held_back;
 }
 
 std::vector<workspace_view> workspace_shares::highest_demand(std::size_t count,
--- a/src/libcaraway/routing/workspace_shares.hpp
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -42,8 +42,8 @@
     admitted,
     /// Demands don't fit, and the request isn't. It may use an engine that would idle.
     beyond,
-    /// The same, and engines may idle: a workspace whose requests a router's processor holds back
-    /// would otherwise fall too far behind.
+    /// The same, and engines may idle: places that are free go to who asks most often, and a
+    /// workspace whose requests a router's processor holds back would fall too far behind.
     held_back,
 };
 
@@ -163,7 +163,7 @@
     }
 
 private:
-    share_standing standing(const share_request& request) const;
+    share_standing standing(const base::workspace_id& id, const share_request& request) const;
     void refresh(base::time_point now);
     void set_growths(base::time_point now);
 
