Door of a VM, Shares: callers that find the listening socket closed count as waiting

Cause: connections that find the listening socket closed are in no count. Change: entry/unseen_callers takes as many per second while the socket is closed as were seen while it was open, by workspace; they count as asked and as held by the processor.

--- a/src/libcaraway/http/door.hpp
+++ b/src/libcaraway/http/door.hpp
@@ -23,9 +23,10 @@
     std::function<void()> on_refused;
     /// A connection's caller had closed it before it was read.
     std::function<void()> on_left;
-    /// The listening socket was closed until the next call of `listener::resume`, as no more
-    /// connections may be accepted.
+    /// The listening socket was closed, as no more connections may be accepted, and opened again by
+    /// `listener::resume`.
     std::function<void()> on_closed;
+    std::function<void()> on_opened;
 };
 
 }  // namespace caraway::http
--- a/src/libcaraway/http/listener.cpp
+++ b/src/libcaraway/http/listener.cpp
@@ -131,6 +131,10 @@
     }
     // Another process may have bound the port meanwhile; the next call tries again.
     refusing_ = !listen();
+    if (!refusing_ && door_.on_opened)
+    {
+        door_.on_opened();
+    }
 }
 
 std::size_t listener::active_requests()
--- a/src/libcaraway/router/caller_door.cpp
+++ b/src/libcaraway/router/caller_door.cpp
@@ -36,16 +36,39 @@
             .refusal = [this](std::string_view first_bytes) { return refusal(first_bytes); },
             .on_refused = [this] { policy_.record_refusal(); },
             .on_left = [this] { policy_.record_left(); },
-            .on_closed =
+            .on_closed = [this] { on_closed(); },
+            .on_opened =
                 [this]
             {
-                policy_.record_closed();
+                closed_since_.reset();
             }};
 }
 
 void caller_door::advance(base::duration elapsed)
 {
     policy_.advance(elapsed);
+    const auto closed = std::min(elapsed, take_closed_time());
+    for (const auto& [workspace, count] : unseen_.advance(elapsed - closed, closed))
+    {
+        core_.shares.record_unread(workspace, core_.now(), count);
+    }
+}
+
+void caller_door::on_closed()
+{
+    policy_.record_closed();
+    closed_since_ = core_.now();
+}
+
+base::duration caller_door::take_closed_time()
+{
+    const auto now = core_.now();
+    const auto since = closed_since_.value_or(now);
+    if (closed_since_)
+    {
+        closed_since_ = now;
+    }
+    return now - since;
 }
 
 bool caller_door::admits_more()
@@ -99,6 +122,7 @@
 
 bool caller_door::refuses(const base::workspace_id& id)
 {
+    unseen_.record_seen(id);
     if (policy_.decide(id, core_.active_streams) == routing::entry::door_verdict::accepted)
     {
         return false;
--- a/src/libcaraway/router/caller_door.hpp
+++ b/src/libcaraway/router/caller_door.hpp
@@ -4,6 +4,9 @@
 #include "libcaraway/http/raw_head.hpp"
 #include "libcaraway/router/core.hpp"
 #include "libcaraway/routing/entry/door_policy.hpp"
+#include "libcaraway/routing/entry/unseen_callers.hpp"
+
+#include <optional>
 
 namespace caraway::router
 {
@@ -18,7 +21,8 @@
 
     /// The functions for the listener of callers; valid as long as this object.
     http::door hooks();
-    /// Lets the budget follow the work admitted since the last call. Called each tick.
+    /// Lets the budget follow the work admitted since the last call, and counts the callers that
+    /// found the listening socket closed. Called each tick.
     void advance(base::duration elapsed);
 
     /// For connections that are accepted without a decision. Returns whether more may be accepted.
@@ -41,8 +45,15 @@
     bool refuses(const base::workspace_id& id);
     std::string refusal_text(const http::raw_head& head);
 
+    void on_closed();
+    /// Time since the last call, or since then, in which the listening socket is closed.
+    base::duration take_closed_time();
+
     core& core_;
     routing::entry::door_policy policy_;
+    routing::entry::unseen_callers unseen_;
+    /// Since when the listening socket is closed, or was counted as closed.
+    std::optional<base::time_point> closed_since_;
 };
 
 }  // namespace caraway::router
--- a/src/libcaraway/routing/shares/share_credits.cpp
+++ b/src/libcaraway/routing/shares/share_credits.cpp
@@ -43,12 +43,12 @@
 }
 
 void share_credits::record_arrival(const base::workspace_id& id, double tokens,
-                                   base::time_point now)
+                                   base::time_point now, double count)
 {
     auto& own = current(id, now);
-    own.arrived += 1;
+    own.arrived += count;
     own.recent_tokens += tokens;
-    own.recent_requests += 1;
+    own.recent_requests += count;
 }
 
 bool share_credits::admits(const base::workspace_id& id, bool returned, double demanded,
--- a/src/libcaraway/routing/shares/share_credits.hpp
+++ b/src/libcaraway/routing/shares/share_credits.hpp
@@ -14,8 +14,9 @@
 class share_credits
 {
 public:
-    /// Counts a request that arrived, with its tokens, whether or not it gets as far as `admits`.
-    void record_arrival(const base::workspace_id& id, double tokens, base::time_point now);
+    /// Counts requests that arrived, with their tokens, whether or not they get as far as `admits`.
+    void record_arrival(const base::workspace_id& id, double tokens, base::time_point now,
+                        double count = 1);
     /// Whether the request may begin: the workspace demands `demanded` tokens within the window and
     /// may begin `limit` of them. `random_unit` is uniform in [0, 1).
     bool admits(const base::workspace_id& id, bool returned, double demanded, double limit,
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -94,14 +94,18 @@
     fleet_usage_[id] += refusal;
 }
 
-void workspace_shares::record_unread(const base::workspace_id& id, base::time_point now)
+void workspace_shares::record_unread(const base::workspace_id& id, base::time_point now,
+                                     double count)
 {
-    const double tokens = credits_.mean_tokens(id);
-    if (tokens > 0)
+    const double tokens = credits_.mean_tokens(id) * count;
+    if (!std::isfinite(tokens) || tokens <= 0)
     {
-        record_demand(id, tokens, now);
-        record_refused(id, tokens, refusal_cause::processor, now);
+        return;
     }
+    own_.current(id, now).demanded += tokens;
+    fleet_usage_[id].demanded += tokens;
+    credits_.record_arrival(id, tokens, now, count);
+    record_refused(id, tokens, refusal_cause::processor, now);
 }
 
 void workspace_shares::set_peer(const base::node_id& peer, workspace_usages usages,
--- a/src/libcaraway/routing/workspace_shares.hpp
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -140,9 +140,10 @@
     /// Records a request that was refused and may come back.
     void record_refused(const base::workspace_id& id, double tokens, refusal_cause cause,
                         base::time_point now);
-    /// Records a request that was refused unread, as the router's processor had no time for it. It
-    /// counts like the workspace's requests of late on average.
-    void record_unread(const base::workspace_id& id, base::time_point now);
+    /// Records requests that were turned away unread, as the router's processor had no time for
+    /// them. They count like the workspace's requests of late on average; `count` may be an
+    /// estimate and is ignored unless it is above 0 and finite.
+    void record_unread(const base::workspace_id& id, base::time_point now, double count = 1);
 
     void set_peer(const base::node_id& peer, workspace_usages usages, base::time_point now);
     /// This router's counts, for its digest.
--- a/tests/shares/shares_model.cpp
+++ b/tests/shares/shares_model.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace caraway::tests
 {
@@ -14,6 +15,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds step_length{5};
+constexpr milliseconds tick_length{100};
 const base::time_point start_time(1h);
 const routing::route model_route{.latency_target = 500ms};
 /// Requests that the FAIR rule allows for.
@@ -105,6 +107,7 @@
 {
     now_ += step_length;
     end_requests();
+    count_unseen();
     send_digests();
     record_occupancy();
     arrive();
@@ -231,12 +234,33 @@
 {
     current_usage(arrival.source).waited = true;
     last_refusal_ = now_;
+    routers_[static_cast<std::size_t>(arrival.router)].closed_part +=
+        static_cast<double>(step_length.count()) / static_cast<double>(tick_length.count());
+}
+
+/// Once a tick. The socket is closed in the steps in which callers are turned away unread.
+void shares_model::count_unseen()
+{
+    if ((now_ - start_time) % tick_length != 0ms)
+    {
+        return;
+    }
+    for (auto& router : routers_)
+    {
+        const double closed_part = std::min(0.9, std::exchange(router.closed_part, 0.0));
+        const auto closed = std::chrono::duration_cast<base::duration>(tick_length * closed_part);
+        for (const auto& [id, count] : router.unseen.advance(tick_length - closed, closed))
+        {
+            router.shares.record_unread(id, now_, count);
+        }
+    }
 }
 
 void shares_model::receive(const request& arrival)
 {
     auto& router = routers_[static_cast<std::size_t>(arrival.router)];
     const auto id = workspace(arrival.source);
+    router.unseen.record_seen(id);
     router.shares.record_demand(id, options_.tokens_per_request, now_);
     auto& processor = processor_credits_[arrival.source];
     if (processor < 1)
@@ -259,6 +283,11 @@
     auto& router = routers_[static_cast<std::size_t>(candidate.router)];
     const auto id = workspace(candidate.source);
     const auto terms = routing::admit(model_route, status(candidate));
+    if (terms.blocked)
+    {
+        refuse(candidate, routing::refusal_cause::other);
+        return;
+    }
     const auto wait = router.queue.add({.workspace = id,
                                         .resubmitted = candidate.resubmitted,
                                         .arrived = now_,
--- a/tests/shares/shares_model.hpp
+++ b/tests/shares/shares_model.hpp
@@ -2,6 +2,7 @@
 
 #include "libcaraway/routing/admission.hpp"
 #include "libcaraway/routing/engines/load_tracker.hpp"
+#include "libcaraway/routing/entry/unseen_callers.hpp"
 #include "libcaraway/routing/returns/wait_queue.hpp"
 #include "libcaraway/routing/workspace_shares.hpp"
 
@@ -93,6 +94,9 @@
         routing::engines::load_tracker loads;
         routing::returns::wait_queue queue;
         std::map<routing::returns::wait_id, request> waiting;
+        routing::entry::unseen_callers unseen;
+        /// Of the current tick: part in which the listening socket was closed.
+        double closed_part = 0;
     };
 
     struct engine_state
@@ -107,6 +111,7 @@
     void arrive();
     void receive(const request& arrival);
     void turn_away_unread(const request& arrival);
+    void count_unseen();
     bool place(const request& candidate);
     void place_or_enqueue(const request& candidate);
     void start(int engine, const request& placed);
