--- a/tests/shares/shares_model.cpp
+++ b/tests/shares/shares_model.cpp
@@ -145,8 +145,9 @@
         {
             limits.push_back(router.shares.limit(workspace(source), now_));
         }
-        std::nth_element(limits.begin(), limits.begin() + routers_.size() / 2, limits.end());
-        worst = std::max(worst, begun / limits[routers_.size() / 2]);
+        const auto median = limits.begin() + std::ssize(limits) / 2;
+        std::nth_element(limits.begin(), median, limits.end());
+        worst = std::max(worst, begun / *median);
     }
     over_limit_.push_back(worst);
 }
