Door of a VM: callers within their part are read beside a flood, and refusals' debt is bounded as a debt

Change: the four are accepted as before, and what refusals cost beyond the budget is owed up to what they may use at once; those that are ahead have the four in any case.

--- a/src/libcaraway/routing/entry/door_policy.cpp
+++ b/src/libcaraway/routing/entry/door_policy.cpp
@@ -44,7 +44,7 @@
 
 bool door_policy::accepts_more() const
 {
-    return budget_.may_refuse() || (guard_.is_below_min_connections() && !budget_.is_overdrawn());
+    return budget_.may_refuse() || guard_.is_below_min_connections();
 }
 
 }  // namespace caraway::routing::entry
--- a/src/libcaraway/routing/entry/work_budget.hpp
+++ b/src/libcaraway/routing/entry/work_budget.hpp
@@ -45,12 +45,8 @@
     {
         return work_rate_;
     }
-    /// Whether refusals have cost as much beyond the budget as they may use at once within it.
-    bool is_overdrawn() const
-    {
-        return left_ <= -burst_work();
-    }
-    /// Work that refusals may still cost; negative while they have cost more than they may.
+    /// Work that refusals may still cost; negative while they have cost more than they may. What
+    /// they cost beyond it is owed up to what they may use at once.
     double left() const
     {
         return left_;
