Door of a VM: no part is taken of a limit that isn't set

Cause: half of 'unlimited' was computed before it was known that no limit is in force; its rounding doesn't fit into a long, the result was never used. Change: an early return. Result: nothing changes; tests/shut_doors, entry, routing, share_gaps and the flooded doors of users_platform pass.

--- a/src/libcaraway/routing/entry/overload_guard.cpp
+++ b/src/libcaraway/routing/entry/overload_guard.cpp
@@ -99,9 +99,11 @@
 
 std::size_t overload_guard::room(const adaptive_limit& limit, part_standing standing) const
 {
-    const bool is_whole = !limit.is_set() || standing != part_standing::ahead;
-    const auto part = scaled(limit.value(), options_.room_of_ahead);
-    return is_whole ? limit.value() : std::max(options_.min_connections, part);
+    if (!limit.is_set() || standing != part_standing::ahead)
+    {
+        return limit.value();
+    }
+    return std::max(options_.min_connections, scaled(limit.value(), options_.room_of_ahead));
 }
 
 bool overload_guard::admits(const stream_effort& effort, part_standing standing,
