Shares, Tests: one place counts what is asked; the door's tests set all of its functions

Cause: record_unread wrote again what record_demand does; the door says 'set all functions or none', and its test left out on_opened; the model of a door kept accessors that nothing calls. Change: add_demand serves both; the test sets on_opened and checks that it is called once; the accessors are gone.

--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -46,10 +46,16 @@
 
 void workspace_shares::record_demand(const base::workspace_id& id, double tokens,
                                      base::time_point now)
+{
+    add_demand(id, tokens, 1, now);
+}
+
+void workspace_shares::add_demand(const base::workspace_id& id, double tokens, double requests,
+                                  base::time_point now)
 {
     own_.current(id, now).demanded += tokens;
     fleet_usage_[id].demanded += tokens;
-    credits_.record_arrival(id, tokens, now);
+    credits_.record_arrival(id, tokens, now, requests);
 }
 
 bool workspace_shares::admits(const base::workspace_id& id, bool resubmitted, double random_unit,
@@ -102,9 +108,7 @@
     {
         return;
     }
-    own_.current(id, now).demanded += tokens;
-    fleet_usage_[id].demanded += tokens;
-    credits_.record_arrival(id, tokens, now, count);
+    add_demand(id, tokens, count, now);
     record_refused(id, tokens, refusal_cause::processor, now);
 }
 
--- a/src/libcaraway/routing/workspace_shares.hpp
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -164,6 +164,8 @@
     }
 
 private:
+    void add_demand(const base::workspace_id& id, double tokens, double requests,
+                    base::time_point now);
     share_standing standing(const base::workspace_id& id, const share_request& request) const;
     void refresh(base::time_point now);
     void set_growths(base::time_point now);
--- a/tests/http/test_door.cpp
+++ b/tests/http/test_door.cpp
@@ -26,6 +26,7 @@
     std::size_t refused = 0;
     std::size_t left = 0;
     std::size_t closed = 0;
+    std::size_t opened = 0;
     std::size_t most_accepted = 1000;
 
     door_fixture()
@@ -42,10 +43,11 @@
                            },
                            .on_refused = [this] { ++refused; },
                            .on_left = [this] { ++left; },
-                           .on_closed =
+                           .on_closed = [this] { ++closed; },
+                           .on_opened =
                                [this]
                            {
-                               ++closed;
+                               ++opened;
                            }});
     }
 
@@ -181,6 +183,7 @@
     accepted = 0;
     listener.resume();
     BOOST_TEST(!listener.refusing());
+    BOOST_TEST(opened == 1U);
     const auto second = caller_with(request_of("small"));
 
     BOOST_TEST(becomes_true([&] { return requests.size() == 2; }));
--- a/tests/shut_doors/door_model.hpp
+++ b/tests/shut_doors/door_model.hpp
@@ -94,19 +94,11 @@
         return std::exchange(turned_away_, 0);
     }
 
-    entry::overload_guard& guard()
-    {
-        return guard_;
-    }
     /// Whether less than a fifth of a tick's work is left over.
     bool is_on_time() const
     {
         return backlog_ < capacity_ / 5;
     }
-    const entry::door_policy& door() const
-    {
-        return door_;
-    }
 
 private:
     void receive(const std::string& name, int connections)
