--- a/src/libcaraway/router/daemon_report.cpp
+++ b/src/libcaraway/router/daemon_report.cpp
@@ -127,6 +127,8 @@
                               {"gap", round_to_hundredths(gap.ratio)},
                               {"behind", gap.behind.str()},
                               {"best_served", gap.ahead.str()},
+                              {"over_limit", round_to_hundredths(basis.over_limit)},
+                              {"furthest_over", basis.furthest_over.str()},
                               {"mean_age_ms", basis.mean_age.count()},
                               {"oldest_age_ms", basis.oldest_age.count()},
                               {"workspaces", workspaces}});
--- a/src/libcaraway/router/peer_link.hpp
+++ b/src/libcaraway/router/peer_link.hpp
@@ -43,6 +43,8 @@
     /// this was waiting in the socket.
     /// Returns false while a newer digest must be awaited, as the newest may have been lost.
     bool receive_pending();
+    /// After the socket wasn't read for so long that it may have lost datagrams.
+    bool awaits_newer_digest() const;
     /// Requests a copy of the tables from the peer with this control address. Returns false, and
     /// does nothing, while another request is in flight. If the peer's upstreams were copied
     /// before, only the changes since then are requested. `with_routers` requests the peer's list
@@ -70,8 +72,6 @@
     void receive_all();
     /// Returns the number of digests among them.
     std::size_t read_datagrams();
-    /// After the socket wasn't read for so long that it may have lost datagrams.
-    bool awaits_newer_digest() const;
     /// Returns whether it is a digest.
     bool on_datagram(std::string_view bytes, const udp::endpoint& sender);
     void on_digest(std::string_view bytes);
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -193,15 +193,26 @@
 share_basis workspace_shares::basis(base::time_point now)
 {
     workspace_usage total;
+    double over_limit = 0;
+    base::workspace_id furthest_over;
     for (const auto& [id, usage] : fleet_usage_)
     {
         total += usage;
+        const double allowed = limit_.of(id);
+        const bool is_cut = allowed < usage.demanded;
+        if (is_cut && usage.served > over_limit * allowed)
+        {
+            over_limit = usage.served / std::max(1.0, allowed);
+            furthest_over = id;
+        }
     }
     return {.capacity = capacity_ * own_.window_seconds(),
             .even_share = even_share_,
             .limit = limit_.even(),
             .occupancy = limit_.occupancy(),
             .total = total,
+            .over_limit = over_limit,
+            .furthest_over = furthest_over,
             .mean_age = peers_.mean_age(now),
             .oldest_age = peers_.oldest_age(now)};
 }
--- a/src/libcaraway/routing/workspace_shares.hpp
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -103,6 +103,10 @@
     double occupancy = 0;
     /// Sums over all workspaces of the fleet.
     workspace_usage total;
+    /// Of the workspaces whose demand is cut: the highest ratio of the tokens that one was served
+    /// within the window to those that it may begin, and that workspace; 0 if there is none.
+    double over_limit = 0;
+    base::workspace_id furthest_over;
     /// Time since the other routers' counts were received.
     std::chrono::milliseconds mean_age{};
     std::chrono::milliseconds oldest_age{};
