Peer link: after standing still, requests wait until a peer or the store has confirmed what the router knows

Cause: the guard on old knowledge was armed by digests that were read, not by the time without a look: the line work of that gap has digests 0, so nothing was awaited; and it ended with the next digest, whatever that confirmed. Change: a guard of its own, without I/O: a second without a look at the socket arms it; only knowledge confirmed within half of the notice ends it, or a second in which nobody could confirm any (an outage of the store).

--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -262,7 +262,7 @@
         core_.log.line("stood_still",
                        {{"for_ms", elapsed.count()},
                         {"upstreams_age_ms", to_milliseconds(core_.upstreams_age()).count()},
-                        {"awaits_newer", link_.awaits_newer_digest()}});
+                        {"unconfirmed", link_.awaits_confirmation()}});
     }
     max_tick_delay_ = std::max(max_tick_delay_, elapsed - tick_period);
     core_.parts.advance(elapsed);
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -21,13 +21,6 @@
 /// More than a router of the largest fleets receives within a second (160).
 constexpr std::size_t max_datagrams_at_once = 256;
 
-/// The socket's buffer holds the datagrams of about this time; of those that arrive later, the
-/// newest are lost.
-constexpr std::chrono::milliseconds max_unread_time{1000};
-
-/// How long a newer digest is awaited after that. In a fleet of any size several arrive meanwhile.
-constexpr std::chrono::milliseconds max_digest_wait{500};
-
 /// A peer answers from memory; one that takes longer is overloaded or failing.
 constexpr std::chrono::milliseconds copy_timeout{500};
 
@@ -58,6 +51,7 @@
     }
     local.port = socket_.local_endpoint(error).port();
     last_receive_ = core_.now();
+    guard_.record_look(last_receive_);
     receive();
     return base::success();
 }
@@ -146,27 +140,20 @@
     {
         receive_all();
     }
-    return !awaits_newer_digest();
+    return !awaits_confirmation();
 }
 
 void peer_link::receive_all()
 {
     previous_receive_ = std::exchange(last_receive_, core_.now());
-    const bool may_have_lost = last_receive_ - previous_receive_ >= max_unread_time;
-    const auto count = read_datagrams();
-    if (count == 0)
-    {
-        return;
-    }
-    newer_awaited_until_ = may_have_lost && !awaits_newer_digest() ? last_receive_ + max_digest_wait
-                                                                   : base::time_point{};
+    guard_.record_look(last_receive_);
+    read_datagrams();
 }
 
-std::size_t peer_link::read_datagrams()
+void peer_link::read_datagrams()
 {
     udp::endpoint sender;
     boost::system::error_code error;
-    std::size_t digests = 0;
     for (std::size_t count = 0; count < max_datagrams_at_once; ++count)
     {
         const auto size = socket_.receive_from(boost::asio::buffer(buffer_), sender, 0, error);
@@ -174,25 +161,28 @@
         {
             break;
         }
-        digests += on_datagram({buffer_.data(), size}, sender) ? 1 : 0;
+        on_datagram({buffer_.data(), size}, sender);
     }
-    return digests;
 }
 
-bool peer_link::on_datagram(std::string_view bytes, const udp::endpoint& sender)
+void peer_link::on_datagram(std::string_view bytes, const udp::endpoint& sender)
 {
     if (routing::is_origin_message(bytes))
     {
         handle_origins_(bytes, {.ip = sender.address().to_string(), .port = sender.port()});
-        return false;
+        return;
     }
     on_digest(bytes);
-    return true;
 }
 
-bool peer_link::awaits_newer_digest() const
+bool peer_link::awaits_confirmation()
 {
-    return core_.now() < newer_awaited_until_;
+    const auto now = core_.now();
+    if (guard_.is_waiting(now) && relay_.is_confirmed(now))
+    {
+        guard_.record_confirmed();
+    }
+    return guard_.is_waiting(now);
 }
 
 void peer_link::receive()
@@ -205,9 +195,9 @@
                                {
                                    return;
                                }
-                               const bool awaited = awaits_newer_digest();
+                               const bool awaited = awaits_confirmation();
                                receive_all();
-                               if (awaited && !awaits_newer_digest())
+                               if (awaited && !awaits_confirmation())
                                {
                                    core_.dispatch_waiting();
                                }
--- a/src/libcaraway/router/peer_link.hpp
+++ b/src/libcaraway/router/peer_link.hpp
@@ -4,6 +4,7 @@
 #include "libcaraway/http/owner_token.hpp"
 #include "libcaraway/router/core.hpp"
 #include "libcaraway/router/table_copy.hpp"
+#include "libcaraway/routing/standstill_guard.hpp"
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -41,10 +42,11 @@
     /// burst of load, one iteration of the event loop takes more than a second; a request placed
     /// during it went to an upstream that had left 3 to 4 s before, while the digest that reported
     /// this was waiting in the socket.
-    /// Returns false while a newer digest must be awaited, as the newest may have been lost.
+    /// Returns false while requests must wait; see awaits_confirmation.
     bool receive_pending();
-    /// After the socket wasn't read for so long that it may have lost datagrams.
-    bool awaits_newer_digest() const;
+    /// Whether requests must wait, as this router stood still and nobody has confirmed what it
+    /// knows of upstreams since.
+    bool awaits_confirmation();
     /// Requests a copy of the tables from the peer with this control address. Returns false, and
     /// does nothing, while another request is in flight. If the peer's upstreams were copied
     /// before, only the changes since then are requested. `with_routers` requests the peer's list
@@ -70,10 +72,8 @@
     /// newest would wait behind about a hundred others on a VM whose iterations take tens of
     /// milliseconds.
     void receive_all();
-    /// Returns the number of digests among them.
-    std::size_t read_datagrams();
-    /// Returns whether it is a digest.
-    bool on_datagram(std::string_view bytes, const udp::endpoint& sender);
+    void read_datagrams();
+    void on_datagram(std::string_view bytes, const udp::endpoint& sender);
     void on_digest(std::string_view bytes);
     void on_copy(const routing::endpoint& peer, const base::result<http::buffered_answer>& result);
 
@@ -89,7 +89,7 @@
     base::time_point last_receive_{};
     /// The read before that: the datagrams being processed arrived after it.
     base::time_point previous_receive_{};
-    base::time_point newer_awaited_until_{};
+    routing::standstill_guard guard_;
     std::size_t unanswered_ = 0;
     std::uint64_t digests_received_ = 0;
     std::array<char, 65536> buffer_{};
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -249,6 +249,10 @@
     {
         return upstreams_resting;
     }
+    if (!core_.receive_peer_updates())
+    {
+        return "upstreams_unconfirmed";
+    }
     return skipped_cold_upstream_ ? "upstreams_cold" : default_reason;
 }
 
--- /dev/null
+++ b/src/libcaraway/routing/standstill_guard.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "libcaraway/base/clock.hpp"
+
+#include <chrono>
+
+namespace caraway::routing
+{
+
+struct standstill_options
+{
+    /// Time without a look at the peers' socket after which this router may have missed that an
+    /// upstream leaves: the socket's buffer holds the datagrams of about this time.
+    std::chrono::milliseconds longest_gap{1000};
+    /// How long knowledge may stay unconfirmed after that before it is used all the same, as while
+    /// nobody reaches the store. An answer of the store takes two turns of a late event loop.
+    std::chrono::milliseconds longest_wait{1000};
+};
+
+/// Keeps a router that stood still from sending requests by what it knew before: until a peer or
+/// the store has confirmed its knowledge of upstreams, or nobody can.
+class standstill_guard
+{
+public:
+    explicit standstill_guard(standstill_options options = {}) : options_(options) {}
+
+    /// Notes a look at the peers' socket, whatever was read.
+    void record_look(base::time_point now);
+    /// Notes that the knowledge of upstreams has been confirmed lately enough to be used.
+    void record_confirmed()
+    {
+        unconfirmed_until_ = {};
+    }
+    /// Whether requests have to wait until the knowledge is confirmed.
+    bool is_waiting(base::time_point now) const
+    {
+        return now < unconfirmed_until_;
+    }
+
+private:
+    standstill_options options_;
+    base::time_point last_look_{};
+    base::time_point unconfirmed_until_{};
+};
+
+}  // namespace caraway::routing
--- a/src/libcaraway/routing/table_relay.hpp
+++ b/src/libcaraway/routing/table_relay.hpp
@@ -117,6 +117,12 @@
     {
         return now - last_confirmed_;
     }
+    /// Whether that is short enough for requests to be sent by the copy after this router stood
+    /// still.
+    bool is_confirmed(base::time_point now) const
+    {
+        return unconfirmed_for(now) <= fraction_of_notice(options_.unconfirmed_fraction);
+    }
     /// Whether a call of this router to the store has failed within `avoid_period`.
     bool is_store_unreachable(base::time_point now) const;
 
--- a/tests/standing_still/test_standing_still.cpp
+++ b/tests/standing_still/test_standing_still.cpp
@@ -37,14 +37,22 @@
 BOOST_AUTO_TEST_CASE(a_request_is_not_placed_on_what_was_known_before_a_standstill)
 {
     auto& router = start_router();
-    const auto caller = send_request(router, "/a/", "after");
+    store.unavailable = true;
+    BOOST_REQUIRE(becomes_true([&] { return logged({"store_lost", "upstreams"}); }));
+    const auto caller = http_tests::connect_to(loop, router.options().callers.port);
+
     jumping.ahead = 4s;
-    store.remove("servers", "i-1");
+    add_upstream(leaving, "plain", "draining");
     add_upstream(staying);
+    store.unavailable = false;
+    caller->send("GET /a/ HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: after\r\n"
+                 "Api-Key: key-1\r\n\r\n");
 
-    BOOST_TEST(receives_status(caller, "200"));
+    BOOST_TEST(
+        becomes_true([&] { return caller->received.find("\r\n\r\n") != std::string::npos; }));
     BOOST_TEST(leaving.runs.empty());
-    BOOST_TEST(staying.runs.size() == 1U);
+    BOOST_REQUIRE(becomes_true([&] { return usable_upstreams(router) == "i-2 "; }));
+    BOOST_TEST(receives_status(send_request(router, "/a/", "once_confirmed"), "200"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
