Shares: limits follow what is asked now, and what engines serve in the same time

Callers saw a workspace refused at a tenth of its demand for seconds after its flood was over, with engines idle; only requests that begin beside the limits hid it.

--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -207,7 +207,7 @@
     const auto now = core_.now();
     check_tick_delay(now);
     resume_listening();
-    core_.shares.record_occupancy(core_.engine_usage().occupancy(), now);
+    core_.shares.record_occupancy(core_.engine_usage().occupancy());
     core_.load_tracker.expire_peers(now, peers_.digest_period() * max_lost_digests);
     if (now >= next_report_)
     {
--- a/src/libcaraway/routing/shares/share_limit.cpp
+++ b/src/libcaraway/routing/shares/share_limit.cpp
@@ -14,6 +14,8 @@
 /// Part of the engines below which nothing is limited: what they serve then says little of what
 /// they could.
 constexpr double min_occupancy = 0.1;
+/// Bound on the mean that what is served is divided by.
+constexpr double min_mean_occupancy = 0.02;
 /// Bounds on the correction of what engines are expected to serve.
 constexpr double min_correction = 0.3;
 constexpr double max_correction = 2;
@@ -28,43 +30,45 @@
     return sum;
 }
 
-std::vector<weighted_demand> even_demands(const workspace_usages& usages)
+std::vector<weighted_demand> even_demands(const workspace_tokens& tokens)
 {
     std::vector<weighted_demand> demands;
-    demands.reserve(usages.size());
-    for (const auto& [id, usage] : usages)
+    demands.reserve(tokens.size());
+    for (const auto& [id, demanded] : tokens)
     {
-        demands.push_back({.demand = usage.demanded});
+        demands.push_back({.demand = demanded});
     }
     return demands;
 }
 
 }  // namespace
 
-void share_limit::record_occupancy(double taken, base::time_point now, const share_options& options)
+void share_limit::record_rates(double serving_rate, base::time_point now,
+                               const share_options& options)
 {
     using real_seconds = std::chrono::duration<double>;
-    const auto elapsed = std::max(real_seconds(0), real_seconds(now - last_note_));
-    last_note_ = now;
-    occupancy_ = taken;
-    const double kept = std::exp(-(elapsed / real_seconds(options.occupancy_memory)));
-    mean_occupancy_ = taken + (mean_occupancy_ - taken) * kept;
+    const auto elapsed = std::max(real_seconds(0), real_seconds(now - last_update_));
+    last_update_ = now;
+    const double kept = std::exp(-(elapsed / real_seconds(options.engine_memory)));
+    mean_serving_rate_ = serving_rate + (mean_serving_rate_ - serving_rate) * kept;
+    mean_occupancy_ = occupancy_ + (mean_occupancy_ - occupancy_) * kept;
 }
 
-/// Tokens within the window that engines serve when `aim` of them is taken, from those that they
-/// serve now.
-double share_limit::attainable(double served, double aim, const share_options& options) const
+/// Tokens within the window that engines serve when `aim` of them is taken.
+double share_limit::attainable(double aim, const share_options& options) const
 {
-    const double per_engine = served / std::max(min_occupancy, mean_occupancy_);
+    const double window_seconds = std::chrono::duration<double>(options.window).count();
+    const double of_all = mean_serving_rate_ / std::max(min_mean_occupancy, mean_occupancy_);
     const double highest = is_finite() ? max_correction : 1;
     const double correction =
         std::clamp(1 + options.fullness_gain * (1 - occupancy_ / aim), min_correction, highest);
-    return std::max(1.0, per_engine * aim * correction);
+    return std::max(1.0, window_seconds * of_all * aim * correction);
 }
 
-void share_limit::update(const workspace_usages& usages, double configured,
-                         const share_options& options)
+void share_limit::update(const workspace_usages& usages, const workspace_tokens& demands,
+                         double configured, base::time_point now, const share_options& options)
 {
+    record_rates(total_serving_rate(usages), now, options);
     weights_.clear();
     held_back_.clear();
     ceiling_ = std::numeric_limits<double>::infinity();
@@ -73,28 +77,26 @@
         even_ = level_ = std::numeric_limits<double>::infinity();
         return;
     }
-    const auto demands = even_demands(usages);
-    const double window_seconds = std::chrono::duration<double>(options.window).count();
-    const double served = total_serving_rate(usages) * window_seconds;
-    const double entitled = max_min_level(demands, std::max(1.0, configured));
-    const double within = attainable(served, options.fullness_within, options);
-    const double beyond = attainable(served, options.fullness_beyond, options);
+    const auto even = even_demands(demands);
+    const double entitled = max_min_level(even, std::max(1.0, configured));
+    const double within = attainable(options.fullness_within, options);
+    const double beyond = attainable(options.fullness_beyond, options);
     // Up to the configured share engines are filled; beyond it a part of them is kept free.
-    even_ = std::max(max_min_level(demands, beyond),
-                     std::min(max_min_level(demands, within), entitled));
+    even_ = std::max(max_min_level(even, beyond), std::min(max_min_level(even, within), entitled));
     level_ = even_;
     if (is_finite())
     {
-        weigh(usages, options);
+        weigh(usages, demands, options);
         set_ceiling(usages, entitled, options);
     }
 }
 
 /// Divides the sum of the even limits by weights that make up for what each was served of late.
-void share_limit::weigh(const workspace_usages& usages, const share_options& options)
+void share_limit::weigh(const workspace_usages& usages, const workspace_tokens& demands,
+                        const share_options& options)
 {
-    std::vector<weighted_demand> demands;
-    demands.reserve(usages.size());
+    std::vector<weighted_demand> weighted;
+    weighted.reserve(usages.size());
     double capacity = 0;
     for (const auto& [id, usage] : usages)
     {
@@ -102,10 +104,11 @@
         const double weight =
             std::clamp(1 + options.catch_up * behind, options.min_weight, 1 + options.catch_up);
         weights_[id] = weight;
-        demands.push_back({.demand = usage.demanded, .weight = weight});
-        capacity += std::min(usage.demanded, even_);
+        const double demanded = demands.at(id);
+        weighted.push_back({.demand = demanded, .weight = weight});
+        capacity += std::min(demanded, even_);
     }
-    level_ = std::min(max_min_level(demands, capacity), max_correction * even_);
+    level_ = std::min(max_min_level(weighted, capacity), max_correction * even_);
 }
 
 /// Workspaces that ask little by their configured share bound nobody: engines would idle for them.
--- a/src/libcaraway/routing/shares/share_limit.hpp
+++ b/src/libcaraway/routing/shares/share_limit.hpp
@@ -19,10 +19,15 @@
 {
 public:
     /// Notes the part of the engines that is taken, 1 is all; called several times a second.
-    void record_occupancy(double taken, base::time_point now, const share_options& options);
-    /// Computes the limits anew from the usages of the fleet. `configured` is the capacity of the
-    /// settings in tokens within the window.
-    void update(const workspace_usages& usages, double configured, const share_options& options);
+    void record_occupancy(double taken)
+    {
+        occupancy_ = taken;
+    }
+    /// Computes the limits anew from the usages of the fleet, and from the tokens that workspaces
+    /// ask within a window at the rate at which they ask now; called several times a second.
+    /// `configured` is the capacity of the settings in tokens within the window.
+    void update(const workspace_usages& usages, const workspace_tokens& demands, double configured,
+                base::time_point now, const share_options& options);
 
     /// Tokens that a workspace may begin within the window; infinite while all demands fit.
     double of(const base::workspace_id& id) const;
@@ -43,14 +48,18 @@
     }
 
 private:
-    double attainable(double served, double aim, const share_options& options) const;
-    void weigh(const workspace_usages& usages, const share_options& options);
+    void record_rates(double serving_rate, base::time_point now, const share_options& options);
+    double attainable(double aim, const share_options& options) const;
+    void weigh(const workspace_usages& usages, const workspace_tokens& demands,
+               const share_options& options);
     void set_ceiling(const workspace_usages& usages, double entitled, const share_options& options);
 
     double occupancy_ = 0;
-    /// Smoothed over about a second, like the rate of what is served.
+    /// Means of late, over the same time: their ratio says what engines serve when all are taken,
+    /// also while what is let in swings.
     double mean_occupancy_ = 0;
-    base::time_point last_note_{};
+    double mean_serving_rate_ = 0;
+    base::time_point last_update_{};
     double even_ = std::numeric_limits<double>::infinity();
     /// Limit of a workspace of weight 1.
     double level_ = std::numeric_limits<double>::infinity();
--- a/src/libcaraway/routing/shares/share_options.hpp
+++ b/src/libcaraway/routing/shares/share_options.hpp
@@ -20,7 +20,7 @@
     /// request.
     double fullness_within = 1.15;
     /// How strongly the limits follow the difference between the fullness and its aim.
-    double fullness_gain = 1;
+    double fullness_gain = 3;
     /// By how much a workspace's limit is raised that was served nothing of late; lowered likewise
     /// for one that was served more than the others.
     double catch_up = 0.5;
@@ -29,8 +29,8 @@
     double waiting_above = 0.02;
     /// Others may have this much more than a workspace that a router's processor holds back.
     double max_gap = 1.5;
-    /// Time constant of the smoothed occupancy: about the time over which serving rates are taken.
-    std::chrono::milliseconds occupancy_memory{500};
+    /// Time constant of what engines serve: it changes as they slow down and recover.
+    std::chrono::milliseconds engine_memory{1000};
 };
 
 }  // namespace caraway::routing::shares
--- a/src/libcaraway/routing/shares/usage_windows.cpp
+++ b/src/libcaraway/routing/shares/usage_windows.cpp
@@ -57,16 +57,16 @@
     advance(counts, newest);
     workspace_usage sum;
     double recently_served = 0;
-    for (std::size_t age = 0; age < bucket_count; ++age)
+    const double newest_part = elapsed_part(now);
+    for (int age = 0; age < static_cast<int>(bucket_count); ++age)
     {
-        auto bucket = counts.buckets[(static_cast<std::size_t>(newest) - age) % bucket_count];
-        if (age >= refusal_buckets)
-        {
-            bucket.refused = 0;
-            bucket.held_by_engines = 0;
-            bucket.held_by_processor = 0;
-        }
-        recently_served += age < static_cast<std::size_t>(rate_buckets) ? bucket.served : 0;
+        auto bucket = counts.buckets[static_cast<std::size_t>(newest - age) % bucket_count];
+        const double refusal_part =
+            std::clamp(static_cast<double>(refusal_buckets - age) + 1 - newest_part, 0.0, 1.0);
+        bucket.refused *= refusal_part;
+        bucket.held_by_engines *= refusal_part;
+        bucket.held_by_processor *= refusal_part;
+        recently_served += age < rate_buckets ? bucket.served : 0;
         sum += bucket;
     }
     sum.served = std::max(0.0, sum.served);
@@ -74,13 +74,19 @@
     return sum;
 }
 
-/// Time that the newest `rate_buckets` buckets cover so far.
-double usage_windows::recent_seconds(base::time_point now) const
+/// Part of the newest bucket that is over.
+double usage_windows::elapsed_part(base::time_point now) const
 {
     using real_seconds = std::chrono::duration<double>;
     const base::duration length = window_ / static_cast<int>(bucket_count);
-    const auto newest = now.time_since_epoch() % length;
-    return real_seconds((rate_buckets - 1) * length + newest).count();
+    return real_seconds(now.time_since_epoch() % length) / real_seconds(length);
+}
+
+/// Time that the newest `rate_buckets` buckets cover so far.
+double usage_windows::recent_seconds(base::time_point now) const
+{
+    const double bucket_seconds = window_seconds() / static_cast<double>(bucket_count);
+    return (rate_buckets - 1 + elapsed_part(now)) * bucket_seconds;
 }
 
 void usage_windows::advance(sliding_window& counts, std::int64_t bucket)
--- a/src/libcaraway/routing/shares/usage_windows.hpp
+++ b/src/libcaraway/routing/shares/usage_windows.hpp
@@ -14,9 +14,10 @@
 {
     /// The window is dropped in buckets, so a count is at most an eighth of the window too old.
     static constexpr std::size_t bucket_count = 8;
-    /// Buckets in which refusals count: 0.5 to 1 s of a window of 4 s. A workspace that waits is
-    /// refused once a second or more often; one that was refused earlier may be served by now.
-    static constexpr std::size_t refusal_buckets = 2;
+    /// Buckets in which refusals count: the last second of a window of 4 s, as if they were spread
+    /// evenly over the oldest of them. A workspace that waits is refused once a second or more
+    /// often; one that was refused earlier may be served by now.
+    static constexpr int refusal_buckets = 2;
     /// Buckets that the serving rate is taken from.
     static constexpr int rate_buckets = 3;
 
@@ -45,6 +46,7 @@
 
     std::int64_t bucket_number(base::time_point now) const;
     workspace_usage total(sliding_window& counts, base::time_point now) const;
+    double elapsed_part(base::time_point now) const;
     double recent_seconds(base::time_point now) const;
     static void advance(sliding_window& counts, std::int64_t bucket);
 
--- a/src/libcaraway/routing/shares/workspace_usage.hpp
+++ b/src/libcaraway/routing/shares/workspace_usage.hpp
@@ -27,5 +27,6 @@
 };
 
 using workspace_usages = std::map<base::workspace_id, workspace_usage>;
+using workspace_tokens = std::map<base::workspace_id, double>;
 
 }  // namespace caraway::routing::shares
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -39,9 +39,9 @@
     own_.set_window(window);
 }
 
-void workspace_shares::record_occupancy(double taken, base::time_point now)
+void workspace_shares::record_occupancy(double taken)
 {
-    limit_.record_occupancy(taken, now, options_);
+    limit_.record_occupancy(taken);
 }
 
 void workspace_shares::record_demand(const base::workspace_id& id, double tokens,
@@ -66,10 +66,7 @@
     {
         return true;
     }
-    const auto grown = growths_.find(id);
-    const double growth = grown == growths_.end() ? 1 : grown->second;
-    return credits_.admits(id, resubmitted, growth * fleet_usage_[id].demanded, allowed,
-                           random_unit, now);
+    return credits_.admits(id, resubmitted, demands_[id], allowed, random_unit, now);
 }
 
 void workspace_shares::record_served(const base::workspace_id& id, double tokens,
@@ -233,25 +230,31 @@
     last_refresh_ = now;
     peers_.expire(options_.peer_lifetime, now);
     fleet_usage_ = own_usages(now);
-    set_growths(now);
+    const auto own = fleet_usage_;
     peers_.add_to(fleet_usage_);
     const double capacity = capacity_ * own_.window_seconds();
     even_share_ = even_share_of(fleet_usage_, capacity);
-    auto expected = fleet_usage_;
-    for (const auto& [id, growth] : growths_)
-    {
-        expected[id].demanded *= growth;
-    }
-    limit_.update(expected, capacity, options_);
+    set_demands(own, now);
+    limit_.update(fleet_usage_, demands_, capacity, now, options_);
 }
 
-/// Of the workspaces that ask at this router: peers' counts say only what was asked on average.
-void workspace_shares::set_growths(base::time_point now)
+/// What is asked now counts, that is what was served or refused in the last second: after a flood
+/// the rest of the window would say that most of it still has to be refused. A demand that grows at
+/// this router is taken to grow at the others, which tell it later.
+void workspace_shares::set_demands(const workspace_usages& own, base::time_point now)
 {
-    growths_.clear();
+    const double refusal_seconds = shares::usage_windows::refusal_span * own_.window_seconds();
+    demands_.clear();
     for (const auto& [id, usage] : fleet_usage_)
     {
-        growths_[id] = credits_.growth(id, usage.demanded, own_.window_seconds(), now);
+        const double refusal_rate = usage.refused / refusal_seconds;
+        const double current = (usage.serving_rate + refusal_rate) * own_.window_seconds();
+        const auto asked_here = own.find(id);
+        const double growth =
+            asked_here == own.end()
+                ? 1
+                : credits_.growth(id, asked_here->second.demanded, own_.window_seconds(), now);
+        demands_[id] = growth > 1 ? std::max(current, growth * usage.demanded) : current;
     }
 }
 
--- a/src/libcaraway/routing/workspace_shares.hpp
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -127,7 +127,7 @@
     void set_window(std::chrono::milliseconds window);
     /// Part of the engines' places that requests of all routers take; 1 is all. Called several
     /// times a second.
-    void record_occupancy(double taken, base::time_point now);
+    void record_occupancy(double taken);
 
     /// Records the arrival of a request; `tokens` are in the unit of the capacity.
     void record_demand(const base::workspace_id& id, double tokens, base::time_point now);
@@ -172,7 +172,7 @@
                     base::time_point now);
     share_standing standing(const base::workspace_id& id, const share_request& request) const;
     void refresh(base::time_point now);
-    void set_growths(base::time_point now);
+    void set_demands(const workspace_usages& own, base::time_point now);
 
     share_options options_;
     double capacity_ = 0;
@@ -180,8 +180,8 @@
     shares::peer_usages peers_;
     /// Usage of the whole fleet as of the last refresh, plus this router's changes since then.
     workspace_usages fleet_usage_;
-    /// What workspaces ask right now, relative to their demand within the window.
-    std::map<base::workspace_id, double> growths_;
+    /// Tokens that workspaces ask within a window at the rate at which they ask now.
+    shares::workspace_tokens demands_;
     double even_share_ = std::numeric_limits<double>::infinity();
     shares::share_limit limit_;
     shares::share_credits credits_;
--- a/tests/routing/test_refused_requests.cpp
+++ b/tests/routing/test_refused_requests.cpp
@@ -57,7 +57,7 @@
     shares.record_demand(small, 500, now);
     shares.record_served(small, 500, now);
 
-    shares.record_occupancy(1, now);
+    shares.record_occupancy(1);
     BOOST_TEST(shares.status(flooding, {.resubmitted = false}, now).share_used < 1);
     BOOST_TEST(shares.status(flooding, {.resubmitted = true}, now).share_used >= 1);
     // Fresh requests come first: those that came back get what these leave.
--- a/tests/routing/test_workspace_shares.cpp
+++ b/tests/routing/test_workspace_shares.cpp
@@ -54,7 +54,7 @@
 /// All places of the engines are taken.
 void fill_engines(workspace_shares& shares)
 {
-    shares.record_occupancy(1, now);
+    shares.record_occupancy(1);
 }
 
 share_status admitted(workspace_shares& shares, const base::workspace_id& workspace)
@@ -167,7 +167,7 @@
     shares.record_served(third, 1800, now);
     shares.record_refused(large, 17000, routing::refusal_cause::other, now);
     shares.record_refused(third, 3200, routing::refusal_cause::processor, now);
-    shares.record_occupancy(0.5, now);
+    shares.record_occupancy(0.5);
 
     BOOST_TEST(shares.limit(large, now) <= 1.5 * 1800);
     BOOST_TEST(open_slots(not_admitted(shares, large)) == 0);
@@ -194,7 +194,7 @@
     auto shares = make_shares();
     shares.record_demand(large, 9000, now);
     shares.record_served(large, 9000, now);
-    shares.record_occupancy(0.3, now);
+    shares.record_occupancy(0.3);
 
     BOOST_TEST(std::isinf(shares.limit(large, now)));
     BOOST_TEST((not_admitted(shares, large).standing == share_standing::unlimited));
@@ -269,7 +269,8 @@
     BOOST_TEST(at_once.refused == 3000.0);
     BOOST_TEST(at_once.held_by_engines == 1000.0);
     BOOST_TEST(at_once.held_by_processor == 500.0);
-    const auto later = shares.own_usages(now + 1000ms)[large];
+    BOOST_TEST(shares.own_usages(now + 1250ms)[large].refused == 1500.0);
+    const auto later = shares.own_usages(now + 1500ms)[large];
     BOOST_TEST(later.refused == 0.0);
     BOOST_TEST(later.held_by_engines == 0.0);
     BOOST_TEST(later.held_by_processor == 0.0);
@@ -329,8 +330,8 @@
     shares.record_refused(third, 0.4e6, routing::refusal_cause::engines, now);
     BOOST_TEST(!std::isinf(shares.limit(third, now)));
 
-    shares.record_occupancy(0.05, now + 3000ms);
-    shares.record_occupancy(0.05, now + 3500ms);
+    shares.record_occupancy(0.05);
+    shares.record_occupancy(0.05);
 
     BOOST_TEST(std::isinf(shares.limit(large, now + 3500ms)));
 }
@@ -379,7 +380,7 @@
     shares.record_demand(large, 20000, now);
     shares.record_served(large, 4000, now);
     fill_engines(shares);
-    shares.record_occupancy(1, now - 5s);
+    shares.record_occupancy(1);
 
     BOOST_TEST(shares.limit(large, now - 5s) > 0);
     BOOST_TEST(shares.limit(large, now + 200ms) > 0);
--- a/tests/shares/shares_model.cpp
+++ b/tests/shares/shares_model.cpp
@@ -444,7 +444,7 @@
             running += lost ? 0 : router.loads.total(engine_name(engine)).running;
             slots += lost ? 0 : options_.slots;
         }
-        router.shares.record_occupancy(running / slots, now_);
+        router.shares.record_occupancy(running / slots);
     }
 }
 
