--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -301,18 +301,36 @@
         {
             continue;
         }
+        const auto longest_wait = longest_contended_wait(service.id);
         for (const auto* engine : directory.usable(service.id))
         {
             const auto load = load_tracker.total(engine->id);
             usage.slots += service.engine->slots;
             usage.running += load.running;
             usage.taken += service.engine->slots *
-                           routing::engines::memory_guard::part_taken(*service.engine, load);
+                           engines.part_taken(*service.engine, engine->id, load, longest_wait);
         }
     }
     return usage;
 }
 
+/// Of the route with the shortest target: beyond it an engine is of no use to its requests.
+std::chrono::milliseconds core::longest_contended_wait(const base::service_id& service) const
+{
+    auto shortest = std::chrono::milliseconds::max();
+    for (const auto& route : table_->accepted().routes)
+    {
+        const bool uses_service =
+            std::any_of(route.services.begin(), route.services.end(),
+                        [&](const auto& each) { return each.service == service; });
+        if (uses_service)
+        {
+            shortest = std::min(shortest, routing::longest_contended_wait(route));
+        }
+    }
+    return shortest;
+}
+
 double core::random_unit()
 {
     return std::uniform_real_distribution<double>(0, 1)(random_);
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -40,7 +40,7 @@
 {
     std::uint64_t slots = 0;
     std::uint64_t running = 0;
-    /// Slots that are taken, or without memory for a further request.
+    /// Slots that are taken, or without memory or reading time for a further request.
     double taken = 0;
 
     /// Part of the engines that is taken; 0 without any.
@@ -197,6 +197,8 @@
     std::optional<base::time_point> reject_from;
 
 private:
+    /// At an engine of the service, for requests beyond their workspace's share.
+    std::chrono::milliseconds longest_contended_wait(const base::service_id& service) const;
     void process_crash(const std::optional<attempts::upstream_crash>& crash);
     /// Finds out whether the upstream has crashed, unless that is being done.
     void check_crashed(const routing::upstream& upstream);
--- a/src/libcaraway/routing/admission.cpp
+++ b/src/libcaraway/routing/admission.cpp
@@ -38,13 +38,18 @@
                 .slot_share = options.slot_share_beyond,
                 .max_queue_time = queue_time};
     }
-    return {.longest_wait = scaled(target, options.engine_wait_contended),
+    return {.longest_wait = longest_contended_wait(request_route, options),
             .slot_share = may_begin ? options.slot_share_contended : options.slot_share_idle,
             .max_repeated_tokens = options.repeated_tokens_contended,
             .max_queue_time = queue_time,
             .blocked = status.standing == share_standing::held_back};
 }
 
+milliseconds longest_contended_wait(const route& request_route, const admission_options& options)
+{
+    return scaled(request_route.latency_target, options.engine_wait_contended);
+}
+
 milliseconds retry_after(const route& request_route, double share_used, double random_unit)
 {
     const auto mean_delay =
--- a/src/libcaraway/routing/admission.hpp
+++ b/src/libcaraway/routing/admission.hpp
@@ -56,6 +56,11 @@
 admission_terms admit(const route& request_route, const share_status& status,
                       const admission_options& options = {});
 
+/// Returns how long a request beyond its workspace's share may wait at an engine while demands don't
+/// fit.
+milliseconds longest_contended_wait(const route& request_route,
+                                    const admission_options& options = {});
+
 /// Returns how long a refused caller should wait before it retries. `random_unit` is uniform in
 /// [0, 1) and spreads the retries of callers that were refused at the same time. A caller within
 /// its share (`share_used` below 1) may retry while its answer can still be on time; a caller
--- a/src/libcaraway/routing/engines/engine_view.cpp
+++ b/src/libcaraway/routing/engines/engine_view.cpp
@@ -68,6 +68,17 @@
     return std::max(1.0, std::floor(slot_share * engine.slots));
 }
 
+double engine_view::part_taken(const engine_capacity& engine, const base::upstream_id& id,
+                               const upstream_load& load,
+                               std::chrono::milliseconds longest_wait) const
+{
+    const double reading_ms =
+        static_cast<double>(load.pending_prefill_tokens) * prefill.ms_per_token(id);
+    // One engine that stalls, with all its prompts unread, counts as full and no more.
+    const double reading = std::min(1.0, reading_ms / std::max(1.0, to_ms(longest_wait)));
+    return std::max(reading, memory_guard::part_taken(engine, load));
+}
+
 speed_summary engine_view::summary() const
 {
     speed_summary out;
--- a/src/libcaraway/routing/engines/engine_view.hpp
+++ b/src/libcaraway/routing/engines/engine_view.hpp
@@ -51,6 +51,11 @@
     /// if it is about average or nothing is known of it. Changes in steps, as shared parts of
     /// prompts move with it.
     double relative_throughput(const base::upstream_id& id) const;
+    /// The part of the engine that the load takes for others: of its slots, of its memory, or of
+    /// `longest_wait`, for which a further request may wait behind prompts; whichever is most.
+    /// Above 1 while requests wait for slots or memory.
+    double part_taken(const engine_capacity& engine, const base::upstream_id& id,
+                      const upstream_load& load, std::chrono::milliseconds longest_wait) const;
     /// Requests that an engine may run, given the request's own limit `slot_share`; see
     /// placement_request.
     double max_running(const engine_capacity& engine, const base::upstream_id& id,
