Shares: what a limit refuses begins nowhere else

Ruled out: a processor (nobody was held back by one there). Change: the places, their setting and the standing that kept them from workspaces beside a held back one are gone. Engines are kept 0.65 taken for requests beyond their share, which may use 0.55 of the slots. Evidence: tests/share_limits failed before (1 to 429 requests in seven of eight cases), 0 now; out of the known red. A request beyond its limit was tested to get fewer slots; it is tested to get none now.

--- a/src/libcaraway/routing/admission.cpp
+++ b/src/libcaraway/routing/admission.cpp
@@ -39,10 +39,10 @@
                 .max_queue_time = queue_time};
     }
     return {.longest_wait = longest_contended_wait(request_route, options),
-            .slot_share = may_begin ? options.slot_share_contended : options.slot_share_idle,
+            .slot_share = options.slot_share_contended,
             .max_repeated_tokens = options.repeated_tokens_contended,
             .max_queue_time = queue_time,
-            .blocked = status.standing == share_standing::held_back};
+            .blocked = !may_begin};
 }
 
 milliseconds longest_contended_wait(const route& request_route, const admission_options& options)
--- a/src/libcaraway/routing/admission.hpp
+++ b/src/libcaraway/routing/admission.hpp
@@ -26,9 +26,7 @@
     /// demands fit. The rest is reserved so that requests within their share find a slot at once.
     double slot_share_beyond = 0.95;
     /// The same while they don't, for requests that may begin.
-    double slot_share_contended = 0.65;
-    /// The same for those that may not: engines that are this empty would idle otherwise.
-    double slot_share_idle = 0.5;
+    double slot_share_contended = 0.55;
     /// Tokens of shared prompt parts that an engine may prefill again for a request beyond its
     /// workspace's share while demands don't fit. Repeated prefill takes capacity from requests
     /// within their share.
@@ -56,8 +54,8 @@
 admission_terms admit(const route& request_route, const share_status& status,
                       const admission_options& options = {});
 
-/// Returns how long a request beyond its workspace's share may wait at an engine while demands don't
-/// fit.
+/// Returns how long a request beyond its workspace's share may wait at an engine while demands
+/// don't fit.
 milliseconds longest_contended_wait(const route& request_route,
                                     const admission_options& options = {});
 
--- a/src/libcaraway/routing/shares/share_options.hpp
+++ b/src/libcaraway/routing/shares/share_options.hpp
@@ -15,7 +15,7 @@
     std::chrono::milliseconds refresh_interval{100};
     /// Part of the engines that workspaces beyond their configured share keep busy while demands
     /// don't fit. The rest is kept free, so that requests within their share find a place at once.
-    double fullness_beyond = 0.6;
+    double fullness_beyond = 0.65;
     /// The same up to the configured share: above 1, so that each place that becomes free finds a
     /// request.
     double fullness_within = 1.15;
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -150,21 +150,16 @@
         request.resubmitted ? std::max(usage.served, usage.demanded) : usage.served;
     return {.share_used = counted / even_share_,
             .limit_used = counted / limit_.of(id),
-            .standing = standing(id, request)};
+            .standing = standing(request)};
 }
 
-share_standing workspace_shares::standing(const base::workspace_id& id,
-                                          const share_request& request) const
+share_standing workspace_shares::standing(const share_request& request) const
 {
     if (!limit_.is_finite())
     {
         return share_standing::unlimited;
     }
-    if (request.admitted)
-    {
-        return share_standing::admitted;
-    }
-    return std::isinf(limit_.ceiling(id)) ? share_standing::beyond : share_standing::held_back;
+    return request.admitted ? share_standing::admitted : share_standing::beyond;
 }
 
 std::vector<workspace_view> workspace_shares::highest_demand(std::size_t count,
--- a/src/libcaraway/routing/workspace_shares.hpp
+++ b/src/libcaraway/routing/workspace_shares.hpp
@@ -40,11 +40,8 @@
     unlimited,
     /// Demands don't fit, and the request is among those that may begin.
     admitted,
-    /// Demands don't fit, and the request isn't. It may use an engine that would idle.
+    /// Demands don't fit, and the request isn't: it begins nowhere for now.
     beyond,
-    /// The same, and engines may idle: places that are free go to who asks most often, and a
-    /// workspace whose requests a router's processor holds back would fall too far behind.
-    held_back,
 };
 
 /// What counts for the terms of one request.
@@ -60,7 +57,7 @@
     /// Whether the request isn't among those that may begin.
     bool is_beyond() const
     {
-        return standing == share_standing::beyond || standing == share_standing::held_back;
+        return standing == share_standing::beyond;
     }
     /// Fraction used of the lesser of the two: the order of workspaces in a queue.
     double largest_used() const
@@ -170,7 +167,7 @@
 private:
     void add_demand(const base::workspace_id& id, double tokens, double requests,
                     base::time_point now);
-    share_standing standing(const base::workspace_id& id, const share_request& request) const;
+    share_standing standing(const share_request& request) const;
     void refresh(base::time_point now);
     void set_demands(const workspace_usages& own, base::time_point now);
 
