Table sync: a store's answer counts from when it can have arrived, not from its reading

Kin of the placements on old knowledge, found by reading: after 4 s of standing still an answer that had lain in the socket confirmed the knowledge as of now, so the guard ended and peers were told a fresh answer. Change: it counts from the call, or from the last time at which timers ran, whichever is later; in a process that isn't late that is within its tick. tests/standing_still, a_stores_answer_does_not_confirm_the_time_in_which_a_ router_stood_still, failed without the change and passes with it.

--- a/src/libcaraway/http/timer_queue.cpp
+++ b/src/libcaraway/http/timer_queue.cpp
@@ -35,6 +35,7 @@
 void timer_queue::run_due()
 {
     running_ = true;
+    last_run_ = now();
     while (!queue_.empty() && queue_.begin()->first.at <= now())
     {
         const auto callback = std::move(queue_.begin()->second);
--- a/src/libcaraway/http/timer_queue.hpp
+++ b/src/libcaraway/http/timer_queue.hpp
@@ -44,6 +44,12 @@
     {
         return clock_.now();
     }
+    /// When actions last ran. What the event loop handles now can have arrived any time since, at
+    /// the earliest: a process that has regular actions was last seen at work then.
+    base::time_point last_run() const
+    {
+        return last_run_;
+    }
 
 private:
     void arm();
@@ -53,6 +59,7 @@
     std::map<handle, action> queue_;
     std::uint64_t last_number_ = 0;
     base::time_point armed_for_ = base::time_point::max();
+    base::time_point last_run_{};
     bool running_ = false;
     owner_token owner_;
 };
--- a/src/libcaraway/router/table_sync.cpp
+++ b/src/libcaraway/router/table_sync.cpp
@@ -1,5 +1,7 @@
 #include "libcaraway/router/table_sync.hpp"
 
+#include <algorithm>
+
 namespace caraway::router
 {
 
@@ -65,7 +67,8 @@
         call_pending_ = false;
         return;
     }
-    const auto next = follower_.next(timers_.now());
+    called_ = timers_.now();
+    const auto next = follower_.next(called_);
     if (next.kind == routing::row_follower::call_kind::read_all)
     {
         port_.read_all([this](auto result) { on_answer(true, std::move(result)); });
@@ -99,7 +102,7 @@
         return;
     }
     ++answers_;
-    last_answer_ = now;
+    last_answer_ = std::max(called_, timers_.last_run());
     const bool was_lost = follower_.lost();
     if (was_lost || !follower_.has_read())
     {
--- a/src/libcaraway/router/table_sync.hpp
+++ b/src/libcaraway/router/table_sync.hpp
@@ -53,7 +53,8 @@
     {
         return answers_;
     }
-    /// When the store last answered.
+    /// When the store last answered, at the earliest: an answer that lay in the socket of a router
+    /// that stood still says nothing of the time since.
     base::time_point last_answer() const
     {
         return last_answer_;
@@ -91,6 +92,7 @@
     events events_;
     base::time_point fresh_since_{};
     std::uint64_t answers_ = 0;
+    base::time_point called_{};
     base::time_point last_answer_{};
     bool paused_ = false;
     /// A call is in flight, or a timer is set for the next.
