Standstill guard: a late turn does not count as the wait for a confirmation

Now at most 250 ms between two looks count as waited, and the tick looks too. Tests of the guard for each way in which the wait ends.

--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -205,6 +205,7 @@
 void daemon::tick()
 {
     const auto now = core_.now();
+    link_.receive_pending();
     check_tick_delay(now);
     resume_listening();
     core_.shares.record_occupancy(core_.engine_usage().occupancy());
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -177,12 +177,11 @@
 
 bool peer_link::awaits_confirmation()
 {
-    const auto now = core_.now();
-    if (guard_.is_waiting(now) && relay_.is_confirmed(now))
+    if (guard_.is_waiting() && relay_.is_confirmed(core_.now()))
     {
         guard_.record_confirmed();
     }
-    return guard_.is_waiting(now);
+    return guard_.is_waiting();
 }
 
 void peer_link::receive()
--- a/src/libcaraway/routing/shares/share_limit.hpp
+++ b/src/libcaraway/routing/shares/share_limit.hpp
@@ -33,9 +33,6 @@
     double of(const base::workspace_id& id) const;
     /// Whether the demands of some workspaces are cut.
     bool is_finite() const;
-    /// Tokens within the window that a workspace may begin in any way beside those that a router's
-    /// processor holds back; infinite if there are none, or if it is one of them.
-    double ceiling(const base::workspace_id& id) const;
     /// The limit of a workspace that had as much as the others.
     double even() const
     {
@@ -48,6 +45,9 @@
     }
 
 private:
+    /// Bound beside workspaces that a router's processor holds back; infinite if there are none, or
+    /// for one of them.
+    double ceiling(const base::workspace_id& id) const;
     void record_rates(double serving_rate, base::time_point now, const share_options& options);
     double attainable(double aim, const share_options& options) const;
     void weigh(const workspace_usages& usages, const workspace_tokens& demands,
--- a/src/libcaraway/routing/standstill_guard.hpp
+++ b/src/libcaraway/routing/standstill_guard.hpp
@@ -3,6 +3,7 @@
 #include "libcaraway/base/clock.hpp"
 
 #include <chrono>
+#include <optional>
 
 namespace caraway::routing
 {
@@ -13,8 +14,11 @@
     /// upstream leaves: the socket's buffer holds the datagrams of about this time.
     std::chrono::milliseconds longest_gap{1000};
     /// How long knowledge may stay unconfirmed after that before it is used all the same, as while
-    /// nobody reaches the store. An answer of the store takes two turns of a late event loop.
+    /// nobody reaches the store.
     std::chrono::milliseconds longest_wait{1000};
+    /// As much of the time between two looks counts as waited: in a turn of seconds no answer can
+    /// have been read.
+    std::chrono::milliseconds longest_step{250};
 };
 
 /// Keeps a router that stood still from sending requests by what it knew before: until a peer or
@@ -29,18 +33,19 @@
     /// Notes that the knowledge of upstreams has been confirmed lately enough to be used.
     void record_confirmed()
     {
-        unconfirmed_until_ = {};
+        waited_.reset();
     }
     /// Whether requests have to wait until the knowledge is confirmed.
-    bool is_waiting(base::time_point now) const
+    bool is_waiting() const
     {
-        return now < unconfirmed_until_;
+        return waited_.has_value();
     }
 
 private:
     standstill_options options_;
     base::time_point last_look_{};
-    base::time_point unconfirmed_until_{};
+    /// Time waited for a confirmation; empty while none is needed.
+    std::optional<base::duration> waited_;
 };
 
 }  // namespace caraway::routing
--- /dev/null
+++ b/tests/leaving_notice/test_standstill_guard.cpp
@@ -0,0 +1,63 @@
+#include "libcaraway/routing/standstill_guard.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace caraway;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const base::time_point start(1h);
+
+/// A guard that was looked at just before the given time, and not for four seconds before that.
+routing::standstill_guard after_standstill()
+{
+    routing::standstill_guard guard;
+    guard.record_look(start - 4s);
+    guard.record_look(start);
+    return guard;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(standstill_guards)
+
+BOOST_AUTO_TEST_CASE(looks_within_a_second_need_no_confirmation)
+{
+    routing::standstill_guard guard;
+    guard.record_look(start);
+    guard.record_look(start + 900ms);
+    BOOST_TEST(!guard.is_waiting());
+}
+
+BOOST_AUTO_TEST_CASE(a_confirmation_ends_the_wait_after_a_standstill)
+{
+    auto guard = after_standstill();
+    BOOST_TEST(guard.is_waiting());
+    guard.record_confirmed();
+    BOOST_TEST(!guard.is_waiting());
+}
+
+// A VM whose turns take most of a second reads no answer in the second that it is to wait.
+BOOST_AUTO_TEST_CASE(a_late_turn_does_not_end_the_wait_before_an_answer_can_be_read)
+{
+    auto guard = after_standstill();
+    guard.record_look(start + 950ms);
+    guard.record_look(start + 1900ms);
+    BOOST_TEST(guard.is_waiting());
+}
+
+// While nobody reaches the store, no confirmation comes.
+BOOST_AUTO_TEST_CASE(the_wait_ends_after_a_second_of_looks_without_a_confirmation)
+{
+    auto guard = after_standstill();
+    for (auto elapsed = 100ms; elapsed <= 1000ms; elapsed += 100ms)
+    {
+        BOOST_TEST(guard.is_waiting());
+        guard.record_look(start + elapsed);
+    }
+    BOOST_TEST(!guard.is_waiting());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
