Standstill guard: a clock that goes back does not prolong the wait

Found by reading: a negative gap between two looks would have lengthened the wait by itself. The test failed before (with the first look told by a value of the clock instead of its absence) and passes.

--- a/src/libcaraway/routing/standstill_guard.cpp
+++ b/src/libcaraway/routing/standstill_guard.cpp
@@ -7,13 +7,8 @@
 
 void standstill_guard::record_look(base::time_point now)
 {
-    const bool is_first = last_look_ == base::time_point{};
-    const auto gap = now - last_look_;
+    const auto gap = now - last_look_.value_or(now);
     last_look_ = now;
-    if (is_first)
-    {
-        return;
-    }
     if (gap >= options_.longest_gap)
     {
         waited_ = base::duration::zero();
@@ -23,7 +18,7 @@
     {
         return;
     }
-    *waited_ += std::min<base::duration>(gap, options_.longest_step);
+    *waited_ += std::clamp<base::duration>(gap, base::duration::zero(), options_.longest_step);
     if (*waited_ >= options_.longest_wait)
     {
         waited_.reset();
--- a/src/libcaraway/routing/standstill_guard.hpp
+++ b/src/libcaraway/routing/standstill_guard.hpp
@@ -43,7 +43,7 @@
 
 private:
     standstill_options options_;
-    base::time_point last_look_{};
+    std::optional<base::time_point> last_look_;
     /// Time waited for a confirmation; empty while none is needed.
     std::optional<base::duration> waited_;
 };
--- a/tests/leaving_notice/test_standstill_guard.cpp
+++ b/tests/leaving_notice/test_standstill_guard.cpp
@@ -60,4 +60,15 @@
     BOOST_TEST(!guard.is_waiting());
 }
 
+BOOST_AUTO_TEST_CASE(a_clock_that_goes_back_does_not_prolong_the_wait)
+{
+    auto guard = after_standstill();
+    guard.record_look(start - 1h);
+    for (int look = 1; look <= 10; ++look)
+    {
+        guard.record_look(start - 1h + look * 100ms);
+    }
+    BOOST_TEST(!guard.is_waiting());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
