Engines: the longest duration is not multiplied into nanoseconds

Found by reading the change again: the wait of a service that no route uses is milliseconds::max, and its conversion to nanoseconds overflowed to -1 ms, so any unread prompt made such an engine count as full. Change: durations become real milliseconds directly. Result: the new case of tests/engines failed before (1 instead of 0.1, the part of its slots) and passes; the other cases as before.

--- a/src/libcaraway/routing/engines/engine_view.cpp
+++ b/src/libcaraway/routing/engines/engine_view.cpp
@@ -21,9 +21,9 @@
 /// change moves some parts, which have to be read again.
 constexpr double throughput_step = 1.2;
 
-double to_ms(base::duration duration)
+double to_ms(std::chrono::duration<double, std::milli> duration)
 {
-    return std::chrono::duration<double, std::milli>(duration).count();
+    return duration.count();
 }
 
 bool is_within(double value, double other, double factor)
--- a/tests/engines/test_part_taken.cpp
+++ b/tests/engines/test_part_taken.cpp
@@ -43,6 +43,13 @@
     BOOST_TEST(part_taken(unread(60'000)) == 1.0);
 }
 
+// A service that no route uses any more has no latency target.
+BOOST_AUTO_TEST_CASE(an_engine_without_a_bound_on_waiting_is_not_full_by_reading)
+{
+    const auto longest_wait = std::chrono::milliseconds::max();
+    BOOST_TEST(engine_view().part_taken(capacity, engine, unread(50), longest_wait) == 0.1);
+}
+
 BOOST_AUTO_TEST_CASE(slots_memory_and_reading_count_by_whichever_is_most)
 {
     BOOST_TEST(part_taken({.running = 15}) == 0.75);
