--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -26,6 +26,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <random>
 #include <set>
@@ -48,6 +49,15 @@
     {
         return slots == 0 ? 0 : taken / static_cast<double>(slots);
     }
+    /// Part of the slots that is free though tokens are refused; 0 while none are.
+    double idle_while_refusing(double refused_tokens) const
+    {
+        if (slots == 0 || refused_tokens == 0)
+        {
+            return 0;
+        }
+        return std::max(0.0, 1 - static_cast<double>(running) / static_cast<double>(slots));
+    }
 };
 
 /// Below this remaining time a request is not sent: no upstream could answer before its deadline.
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -69,8 +69,6 @@
     /// Updates the request rate, and logs work and workspace shares. Once a second.
     void report_second(base::time_point now);
     void log_shares(base::time_point now);
-    /// Part of the engines' slots that are free though requests were refused in the last second.
-    double idle_while_refusing();
     work_counters total_work() const;
     void log_work(const work_counters& before, const work_counters& after) const;
     /// Accepts new connections again on listeners that refused them since the last tick.
--- a/src/libcaraway/router/daemon_answers.cpp
+++ b/src/libcaraway/router/daemon_answers.cpp
@@ -158,13 +158,14 @@
               "What the waiting workspace furthest behind could have had, divided by what it had, "
               "over six seconds; 1 is even.",
               core_.shares.widest_gap().ratio);
+    const auto basis = core_.shares.basis(core_.now());
     set_gauge("caraway_share_over_limit",
               "Of workspaces that ask more than they may begin: the highest ratio of what one was "
               "served within the window to its limit; 0 without any.",
-              core_.shares.basis(core_.now()).over_limit);
+              basis.over_limit);
     set_gauge("caraway_slots_idle_while_refusing",
               "Part of the engines' slots that are free though requests are refused.",
-              idle_while_refusing());
+              core_.engine_usage().idle_while_refusing(basis.total.refused));
     set_gauge("caraway_streams", "Requests to engines in flight.",
               static_cast<double>(core_.active_streams));
     set_gauge("caraway_overloaded",
--- a/src/libcaraway/router/daemon_report.cpp
+++ b/src/libcaraway/router/daemon_report.cpp
@@ -112,38 +112,27 @@
     const auto basis = core_.shares.basis(now);
     const auto engines = core_.engine_usage();
     const auto& gap = core_.shares.widest_gap();
-    core_.log.line("shares", {{"even_share", tokens_or_minus_one(basis.even_share)},
-                              {"limit", tokens_or_minus_one(basis.limit)},
-                              {"capacity", round_to_integer(basis.capacity)},
-                              {"asked", round_to_integer(basis.total.demanded)},
-                              {"served", round_to_integer(basis.total.served)},
-                              {"refused", round_to_integer(basis.total.refused)},
-                              {"held_by_engines", round_to_integer(basis.total.held_by_engines)},
-                              {"slots", engines.slots},
-                              {"running", engines.running},
-                              {"occupancy", round_to_hundredths(basis.occupancy)},
-                              {"idle", round_to_hundredths(idle_while_refusing())},
-                              {"waiting", core_.wait_queue.size()},
-                              {"gap", round_to_hundredths(gap.ratio)},
-                              {"behind", gap.behind.str()},
-                              {"best_served", gap.ahead.str()},
-                              {"over_limit", round_to_hundredths(basis.over_limit)},
-                              {"furthest_over", basis.furthest_over.str()},
-                              {"mean_age_ms", basis.mean_age.count()},
-                              {"oldest_age_ms", basis.oldest_age.count()},
-                              {"workspaces", workspaces}});
-}
-
-double daemon::idle_while_refusing()
-{
-    const auto engines = core_.engine_usage();
-    const auto total = core_.shares.basis(core_.now()).total;
-    if (engines.slots == 0 || total.refused == 0)
-    {
-        return 0;
-    }
-    return std::max(0.0,
-                    1 - static_cast<double>(engines.running) / static_cast<double>(engines.slots));
+    core_.log.line("shares",
+                   {{"even_share", tokens_or_minus_one(basis.even_share)},
+                    {"limit", tokens_or_minus_one(basis.limit)},
+                    {"capacity", round_to_integer(basis.capacity)},
+                    {"asked", round_to_integer(basis.total.demanded)},
+                    {"served", round_to_integer(basis.total.served)},
+                    {"refused", round_to_integer(basis.total.refused)},
+                    {"held_by_engines", round_to_integer(basis.total.held_by_engines)},
+                    {"slots", engines.slots},
+                    {"running", engines.running},
+                    {"occupancy", round_to_hundredths(basis.occupancy)},
+                    {"idle", round_to_hundredths(engines.idle_while_refusing(basis.total.refused))},
+                    {"waiting", core_.wait_queue.size()},
+                    {"gap", round_to_hundredths(gap.ratio)},
+                    {"behind", gap.behind.str()},
+                    {"best_served", gap.ahead.str()},
+                    {"over_limit", round_to_hundredths(basis.over_limit)},
+                    {"furthest_over", basis.furthest_over.str()},
+                    {"mean_age_ms", basis.mean_age.count()},
+                    {"oldest_age_ms", basis.oldest_age.count()},
+                    {"workspaces", workspaces}});
 }
 
 }  // namespace caraway::router
--- a/src/libcaraway/router/peer_link.cpp
+++ b/src/libcaraway/router/peer_link.cpp
@@ -51,7 +51,6 @@
     }
     local.port = socket_.local_endpoint(error).port();
     last_receive_ = core_.now();
-    guard_.record_look(last_receive_);
     receive();
     return base::success();
 }
@@ -146,7 +145,7 @@
 void peer_link::receive_all()
 {
     previous_receive_ = std::exchange(last_receive_, core_.now());
-    guard_.record_look(last_receive_);
+    guard_.record_look(last_receive_ - previous_receive_);
     read_datagrams();
 }
 
--- a/src/libcaraway/routing/standstill_guard.cpp
+++ b/src/libcaraway/routing/standstill_guard.cpp
@@ -5,10 +5,8 @@
 namespace caraway::routing
 {
 
-void standstill_guard::record_look(base::time_point now)
+void standstill_guard::record_look(base::duration gap)
 {
-    const auto gap = now - last_look_.value_or(now);
-    last_look_ = now;
     if (gap >= options_.longest_gap)
     {
         waited_ = base::duration::zero();
--- a/src/libcaraway/routing/standstill_guard.hpp
+++ b/src/libcaraway/routing/standstill_guard.hpp
@@ -28,8 +28,8 @@
 public:
     explicit standstill_guard(standstill_options options = {}) : options_(options) {}
 
-    /// Notes a look at the peers' socket, whatever was read.
-    void record_look(base::time_point now);
+    /// Notes a look at the peers' socket, whatever was read, `gap` after the look before.
+    void record_look(base::duration gap);
     /// Notes that the knowledge of upstreams has been confirmed lately enough to be used.
     void record_confirmed()
     {
@@ -43,7 +43,6 @@
 
 private:
     standstill_options options_;
-    std::optional<base::time_point> last_look_;
     /// Time waited for a confirmation; empty while none is needed.
     std::optional<base::duration> waited_;
 };
--- a/src/libcaraway/routing/workspace_shares.cpp
+++ b/src/libcaraway/routing/workspace_shares.cpp
@@ -243,13 +243,15 @@
     for (const auto& [id, usage] : fleet_usage_)
     {
         const double refusal_rate = usage.refused / refusal_seconds;
-        const double current = (usage.serving_rate + refusal_rate) * own_.window_seconds();
-        const auto asked_here = own.find(id);
-        const double growth =
-            asked_here == own.end()
-                ? 1
-                : credits_.growth(id, asked_here->second.demanded, own_.window_seconds(), now);
-        demands_[id] = growth > 1 ? std::max(current, growth * usage.demanded) : current;
+        demands_[id] = (usage.serving_rate + refusal_rate) * own_.window_seconds();
+    }
+    for (const auto& [id, usage] : own)
+    {
+        const double growth = credits_.growth(id, usage.demanded, own_.window_seconds(), now);
+        if (growth > 1)
+        {
+            demands_[id] = std::max(demands_[id], growth * fleet_usage_[id].demanded);
+        }
     }
 }
 
