Tests: callers of a flooded door connect without waiting for the thread that their router runs on

Its callers connect without blocking and the router runs between them, as it does beside real callers; one that finds no room is one that found no connection. The checks are the same.

--- a/tests/users_platform/test_flooded_door.cpp
+++ b/tests/users_platform/test_flooded_door.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <poll.h>
+#include <sys/socket.h>
+
 using namespace users_platform_tests;
 using namespace caraway;
 using namespace std::chrono_literals;
@@ -28,6 +31,27 @@
     base::time_point start_ = machine_.now();
 };
 
+/// Null if the system refuses the connection, or has no room for it to wait. The routers run on the
+/// caller's thread, so that a connection that has to wait for them would never be made.
+std::shared_ptr<http_tests::raw_peer> connect_at_once(boost::asio::io_context& loop,
+                                                      std::uint16_t port)
+{
+    constexpr int longest_wait_ms = 5;
+    using http_tests::tcp;
+    tcp::socket socket(loop, tcp::v4());
+    socket.native_non_blocking(true);
+    const tcp::endpoint address(boost::asio::ip::address_v4::loopback(), port);
+    ::connect(socket.native_handle(), address.data(), static_cast<socklen_t>(address.size()));
+    pollfd wait{.fd = socket.native_handle(), .events = POLLOUT, .revents = 0};
+    if (::poll(&wait, 1, longest_wait_ms) != 1 || (wait.revents & (POLLERR | POLLHUP)) != 0)
+    {
+        return nullptr;
+    }
+    auto end = std::make_shared<http_tests::raw_peer>(std::move(socket));
+    end->start();
+    return end;
+}
+
 constexpr auto hold_stream = [](stand_in_runner& runner, const stand_in_runner::run& current)
 {
     runner.begin_stream(current);
@@ -72,17 +96,18 @@
         routers.clear();
     }
 
-    /// Null if the system refuses the connection.
+    /// Null if there is no connection.
     std::shared_ptr<http_tests::raw_peer> try_send(const std::string& id, const std::string& key)
     {
-        try
+        auto end = connect_at_once(loop, router->options().callers.port);
+        if (end)
         {
-            return send_once(id, key);
-        }
-        catch (const boost::system::system_error&)
-        {
-            return nullptr;
+            end->send("POST /s/a HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: " + id +
+                      "\r\nApi-Key: " + key +
+                      "\r\nX-Model: m\r\nX-Token-Count: 100,50\r\nX-Prefix-Hash: " + id +
+                      ":100\r\nX-Deadline-Ms: 6000\r\nContent-Length: 4\r\n\r\nbody");
         }
+        return end;
     }
 
     /// A caller that finds no connection tries again.
@@ -98,14 +123,6 @@
         return end;
     }
 
-    std::shared_ptr<http_tests::raw_peer> send_once(const std::string& id, const std::string& key)
-    {
-        return send_request(*router, "/s/a", id,
-                            "Api-Key: " + key +
-                                "\r\nX-Model: m\r\nX-Token-Count: 100,50\r\nX-Prefix-Hash: " + id +
-                                ":100\r\nX-Deadline-Ms: 6000\r\n");
-    }
-
     void send_flood(int count)
     {
         for (int number = 0; number < count; ++number)
@@ -223,8 +240,9 @@
         ends.reserve(20);
         for (int number = 0; number < 20; ++number)
         {
-            ends.push_back(try_send("u" + std::to_string(number),
-                                    "unknown-" + std::to_string(wave * 20 + number)));
+            const auto key = "unknown-" + std::to_string(wave * 20 + number);
+            ends.push_back(try_send("u" + std::to_string(number), key));
+            loop.poll();
         }
         settle();
     }
