--- a/tests/held_back/test_held_back.cpp
+++ b/tests/held_back/test_held_back.cpp
@@ -14,7 +14,6 @@
 {
 
 constexpr int large_total = 5;
-constexpr int small_total = 8;
 constexpr double small_rate = 3;
 constexpr int end_second = 20;
 /// One window of the shares after the flood's onset.
@@ -105,6 +104,7 @@
 // A VM that serves next to nothing stops nobody else.
 BOOST_AUTO_TEST_CASE(a_workspace_at_a_vm_that_stands_still_leaves_others_a_quarter_of_their_share)
 {
+    const auto small_total = static_cast<double>(tests::background(small_rate).size());
     const double configured =
         fleet.configured_tokens_per_second - small_total * small_rate * fleet.tokens_per_request;
     const double quarter_share = configured / (large_total + 1) / 4;
