Tests: one place writes a caller's request

The flooded door's callers, which connect without waiting, had got a copy of the request that router_fixture::send_request writes. Both call request_text now; the bytes and all checks are the same.

--- a/tests/users_platform/router_fixture.cpp
+++ b/tests/users_platform/router_fixture.cpp
@@ -1,5 +1,7 @@
 #include "router_fixture.hpp"
 
+#include "request_text.hpp"
+
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
@@ -152,8 +154,7 @@
                                                                    const std::string& body)
 {
     auto end = http_tests::connect_to(loop, router.options().callers.port);
-    end->send("POST " + target + " HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: " + id + "\r\n" +
-              fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    end->send(request_text(target, id, fields, body));
     return end;
 }
 
--- a/tests/users_platform/test_flooded_door.cpp
+++ b/tests/users_platform/test_flooded_door.cpp
@@ -1,3 +1,4 @@
+#include "request_text.hpp"
 #include "router_fixture.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -108,10 +109,10 @@
         auto end = connect_at_once(loop, router->options().callers.port);
         if (end)
         {
-            end->send("POST /s/a HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: " + id +
-                      "\r\nApi-Key: " + key +
-                      "\r\nX-Model: m\r\nX-Token-Count: 100,50\r\nX-Prefix-Hash: " + id +
-                      ":100\r\nX-Deadline-Ms: 6000\r\nContent-Length: 4\r\n\r\nbody");
+            const auto fields = "Api-Key: " + key +
+                                "\r\nX-Model: m\r\nX-Token-Count: 100,50\r\nX-Prefix-Hash: " + id +
+                                ":100\r\nX-Deadline-Ms: 6000\r\n";
+            end->send(request_text("/s/a", id, fields, "body"));
         }
         return end;
     }
