--- a/review/common/platform_stand_ins.py
+++ b/review/platform_stand_ins.py
@@ -12,7 +12,7 @@
 import time
 import urllib.parse
 
-TOP = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+TOP = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 ROUTER = [os.path.join(TOP, "target/bin/caraway-router"), "--metrics-port", "9464"]
 
 
