--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -225,6 +225,10 @@
     {
         line.add("stream_software", stream_software_->str());
     }
+    if (!origin_source_.empty())
+    {
+        line.add("origin", origin_source_);
+    }
     if (metadata_.resume_after)
     {
         line.add("after_event", *metadata_.resume_after);
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -193,6 +193,8 @@
     /// Version that sent the first event of the stream, which no other may continue. Empty before
     /// that event; an empty version if it isn't known.
     std::optional<base::software_version> stream_software_;
+    /// How that is known of a stream that an earlier attempt began; empty if it isn't.
+    std::string_view origin_source_;
     base::time_point first_event_time_{};
     base::time_point last_event_time_{};
     /// Longest time between two writes of events to the caller.
--- a/src/libcaraway/router/request_streams.cpp
+++ b/src/libcaraway/router/request_streams.cpp
@@ -49,9 +49,11 @@
     {
         return;
     }
+    origin_source_ = origin ? "told" : "";
     if (!origin)
     {
         origin = sole_origin();
+        origin_source_ = origin ? "only_version" : "";
     }
     const auto has_service = [&](const auto& each)
     {
