--- a/src/libcaraway/router/settings.hpp
+++ b/src/libcaraway/router/settings.hpp
@@ -31,6 +31,8 @@
     routing::endpoint store;
     /// Control addresses of some routers, for discovery; they may be outdated.
     std::vector<routing::endpoint> seeds;
+    /// The whole fleet starts for the first time: no router has served before.
+    bool first_start = false;
     routing::retry_budget_options retries;
     std::chrono::milliseconds share_window{4000};
     /// Time between SIGTERM and SIGKILL.
--- /dev/null
+++ b/tests/odd_entries/main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE odd_entries
+#include <boost/test/unit_test.hpp>
--- /dev/null
+++ b/tests/routers_out_of_step/test_routers_out_of_step.cpp
@@ -0,0 +1,131 @@
+#include "../stream_versions/version_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace stream_version_tests;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A router that has known one version for as long as a stream of its route can last.
+struct out_of_step_fixture : version_fixture
+{
+    users_platform_tests::stand_in_store cut_off_store{loop, timers};
+    route_spec short_route = resumable_stream;
+    int tries = 0;
+
+    out_of_step_fixture()
+    {
+        short_route.timeout_ms = 200;
+    }
+
+    /// A caller resumes a stream that no router knows.
+    caller_connection resume_unknown(std::size_t router)
+    {
+        const auto number = std::to_string(++tries);
+        return resume(router, "again-" + number, "nobody-knows-" + number);
+    }
+
+    void await_only_version(std::size_t router)
+    {
+        BOOST_REQUIRE(
+            becomes_true([&] { return receives_status(resume_unknown(router), "200"); }));
+    }
+
+    /// A router that follows a view of the store of its own, which can fall silent.
+    void start_cut_off_router(const std::string& name)
+    {
+        cut_off_store.copy_from(store);
+        start_router_at(cut_off_store, name, true);
+    }
+
+    bool is_refused_unrun(const caller_connection& resumed)
+    {
+        return receives_status(resumed, "503") && run_count("again-" + std::to_string(tries)) == 0;
+    }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(routers_out_of_step, out_of_step_fixture)
+
+// The version joined after the router's last call to the store, and a stream began on it elsewhere.
+BOOST_AUTO_TEST_CASE(a_stream_of_a_version_that_has_just_joined_does_not_go_on_at_another)
+{
+    start_routers(1, {&old_1, &old_2});
+    accept_configuration(2, {short_route});
+    await_only_version(0);
+    // The router has just had an answer, so its next call is some time away.
+    add_upstream(old_2, "engines");
+    settle();
+    add_upstream(new_1, "engines");
+
+    BOOST_TEST(is_refused_unrun(resume_unknown(0)));
+}
+
+BOOST_AUTO_TEST_CASE(a_router_cut_off_as_a_version_joins_refuses_streams_that_nobody_else_knows)
+{
+    accept_configuration(1, {short_route});
+    add_upstream(old_1, "engines");
+    add_upstream(old_2, "engines");
+    start_cut_off_router("r1");
+    await_engines(2);
+    await_only_version(0);
+    cut_off_store.unresponsive = true;
+    add_upstream(new_1, "engines");
+
+    BOOST_TEST(is_refused_unrun(resume_unknown(0)));
+}
+
+BOOST_AUTO_TEST_CASE(a_router_that_is_turned_away_by_the_store_refuses_streams_that_nobody_else_knows)
+{
+    accept_configuration(1, {short_route});
+    add_upstream(old_1, "engines");
+    add_upstream(old_2, "engines");
+    start_cut_off_router("r1");
+    await_engines(2);
+    await_only_version(0);
+    cut_off_store.unavailable = true;
+    add_upstream(new_1, "engines");
+
+    BOOST_TEST(is_refused_unrun(resume_unknown(0)));
+}
+
+// A version that came and went between two answers leaves an entry's removal only.
+BOOST_AUTO_TEST_CASE(a_version_that_came_and_went_between_two_answers_may_have_begun_a_stream)
+{
+    accept_configuration(1, {short_route});
+    add_upstream(old_1, "engines");
+    add_upstream(old_2, "engines");
+    store.merges_changes = true;
+    start_routers(1, {&old_1, &old_2});
+    accept_configuration(2, {short_route});
+    await_only_version(0);
+    add_upstream(old_2, "engines");
+    settle();
+    add_upstream(new_1, "engines");
+    store.remove("servers", new_1.instance);
+
+    BOOST_TEST(is_refused_unrun(resume_unknown(0)));
+}
+
+// As long as the store is reached, what nobody knows goes on where one version served.
+BOOST_AUTO_TEST_CASE(streams_of_the_only_version_go_on_during_and_after_a_short_silence_of_the_store)
+{
+    accept_configuration(1, {short_route});
+    add_upstream(old_1, "engines");
+    add_upstream(old_2, "engines");
+    start_routers(1, {&old_1, &old_2});
+    accept_configuration(2, {short_route});
+    await_only_version(0);
+    store.unavailable = true;
+    BOOST_REQUIRE(becomes_true([&] { return logged({"store_lost", "upstreams"}); }));
+    BOOST_TEST(is_refused_unrun(resume_unknown(0)));
+    store.unavailable = false;
+    BOOST_REQUIRE(becomes_true([&] { return logged({"store_back", "upstreams"}); }));
+
+    BOOST_TEST(receives_status(resume_unknown(0), "200"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/users_platform/router_fixture.cpp
+++ b/tests/users_platform/router_fixture.cpp
@@ -124,6 +124,7 @@
                                    .datagrams = any_port,
                                    .store = platform_store.address(),
                                    .seeds = seeds,
+                                   .first_start = bootstrap,
                                    .retries = {.ratio = 0.2, .slack = 50},
                                    .grace = std::chrono::milliseconds(4000)};
     changed_settings = options;
--- a/tests/users_platform/stand_in_store.cpp
+++ b/tests/users_platform/stand_in_store.cpp
@@ -2,6 +2,8 @@
 
 #include "base64.hpp"
 
+#include <algorithm>
+
 namespace users_platform_tests
 {
 
@@ -11,6 +13,22 @@
 using namespace caraway;
 using nlohmann::json;
 
+std::string decode_percent(const std::string& text)
+{
+    constexpr int hexadecimal = 16;
+    std::string decoded;
+    for (std::size_t position = 0; position < text.size(); ++position)
+    {
+        const bool is_encoded = text[position] == '%' && position + 2 < text.size();
+        decoded += is_encoded
+                       ? static_cast<char>(
+                             std::stoi(text.substr(position + 1, 2), nullptr, hexadecimal))
+                       : text[position];
+        position += is_encoded ? 2 : 0;
+    }
+    return decoded;
+}
+
 std::map<std::string, std::string> parse_query(const std::string& target)
 {
     std::map<std::string, std::string> fields;
@@ -20,7 +38,8 @@
         const auto end = std::min(remaining.find('&'), remaining.size());
         const auto field = remaining.substr(0, end);
         const auto separator = std::min(field.find('='), field.size());
-        fields[field.substr(0, separator)] = field.substr(std::min(field.size(), separator + 1));
+        fields[field.substr(0, separator)] =
+            decode_percent(field.substr(std::min(field.size(), separator + 1)));
         remaining.erase(0, end + 1);
     }
     return fields;
@@ -111,7 +130,7 @@
     auto fields = parse_query(target);
     if (target.starts_with("/rows-get"))
     {
-        answer_get(request, fields["table"]);
+        answer_get(request, fields["table"], fields["from"]);
     }
     else if (target.starts_with("/rows-feed"))
     {
@@ -129,18 +148,28 @@
 }
 
 void stand_in_store::answer_get(const std::shared_ptr<http::exchange>& request,
-                                const std::string& table)
+                                const std::string& table, const std::string& from)
 {
     auto rows = json::array();
+    bool has_more = false;
     for (const auto& [key, stored_row] : tables_[table])
     {
+        if (key < from)
+        {
+            continue;
+        }
+        has_more = rows.size() >= rows_per_answer;
+        if (has_more)
+        {
+            break;
+        }
         rows.push_back({{"table", table},
                         {"part", ""},
                         {"key", key},
                         {"value", to_base64(stored_row.value)},
                         {"ver", stored_row.version}});
     }
-    answer_json(request, {{"rows", rows}, {"more_pages", false}, {"ver", version_}, {"now_ms", 1}});
+    answer_json(request, {{"rows", rows}, {"more_pages", has_more}, {"ver", version_}, {"now_ms", now_ms()}});
 }
 
 void stand_in_store::answer_feed(const std::shared_ptr<http::exchange>& request,
@@ -155,7 +184,7 @@
     const auto rows = changes(table, after);
     if (!rows.empty() || hold_time.count() == 0)
     {
-        answer_json(request, {{"rows", rows}, {"ver", version_}, {"now_ms", 1}});
+        answer_json(request, {{"rows", rows}, {"ver", version_}, {"now_ms", now_ms()}});
         return;
     }
     waiters_.push_back({.request = request, .table = table, .after = after});
@@ -166,7 +195,8 @@
                                                        { return candidate.request == request; });
                       if (count > 0)
                       {
-                          answer_json(request, {{"rows", json::array()}, {"ver", version_}});
+                          answer_json(request,
+                                      {{"rows", json::array()}, {"ver", version_}, {"now_ms", now_ms()}});
                       }
                   });
 }
@@ -194,7 +224,7 @@
         request->abort();
         return;
     }
-    answer_json(request, {{"ver", version_}, {"now_ms", 1}});
+    answer_json(request, {{"ver", version_}, {"now_ms", now_ms()}});
 }
 
 json stand_in_store::changes(const std::string& table, std::uint64_t after) const
@@ -202,7 +232,8 @@
     auto rows = json::array();
     for (const auto& past_change : history_)
     {
-        if (past_change.version <= after || past_change.table != table)
+        const bool is_asked_for = past_change.version > after && past_change.table == table;
+        if (!is_asked_for || (merges_changes && is_superseded(past_change)))
         {
             continue;
         }
@@ -221,6 +252,23 @@
     return rows;
 }
 
+bool stand_in_store::is_superseded(const change& past_change) const
+{
+    return std::any_of(history_.begin(), history_.end(),
+                       [&](const auto& other)
+                       {
+                           return other.table == past_change.table &&
+                                  other.key == past_change.key &&
+                                  other.version > past_change.version;
+                       });
+}
+
+std::int64_t stand_in_store::now_ms() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(timers_.now().time_since_epoch())
+        .count();
+}
+
 void stand_in_store::notify_waiters()
 {
     std::vector<waiter> pending;
@@ -233,7 +281,7 @@
             waiters_.push_back(std::move(candidate));
             continue;
         }
-        answer_json(candidate.request, {{"rows", rows}, {"ver", version_}, {"now_ms", 1}});
+        answer_json(candidate.request, {{"rows", rows}, {"ver", version_}, {"now_ms", now_ms()}});
     }
 }
 
--- a/tests/users_platform/stand_in_store.hpp
+++ b/tests/users_platform/stand_in_store.hpp
@@ -36,6 +36,10 @@
     bool unresponsive = false;
     /// Applies writes, then closes the connection without an answer.
     bool drops_answers = false;
+    /// Followers get only the last change of each row.
+    bool merges_changes = false;
+    /// Rows in one answer to a read; the next part is read from the last row's key.
+    std::size_t rows_per_answer = 500;
     std::map<std::string, int> calls;
 
 private:
@@ -62,12 +66,16 @@
 
     void answer(const std::shared_ptr<caraway::http::exchange>& request);
     void answer_get(const std::shared_ptr<caraway::http::exchange>& request,
-                    const std::string& table);
+                    const std::string& table, const std::string& from);
     void answer_feed(const std::shared_ptr<caraway::http::exchange>& request,
                      const std::string& table, std::uint64_t after,
                      std::chrono::milliseconds hold_time);
     void answer_transaction(const std::shared_ptr<caraway::http::exchange>& request);
     nlohmann::json changes(const std::string& table, std::uint64_t after) const;
+    /// Whether a later change of the same row is in the history.
+    bool is_superseded(const change& past_change) const;
+    /// The store's steady clock, in milliseconds.
+    std::int64_t now_ms() const;
     void record_change(const std::string& table, const std::string& key,
                        std::optional<std::string> value);
     void notify_waiters();
