Router: a stream that has begun doesn't end with an answer that is no stream

What callers saw: a stream cut short that ends as complete. The router goes on with a broken stream at another upstream; whatever whole answer that gave, a sealed 400, 404, 409 or 429 or a 200 that is no event stream, ended the caller's stream in order. Cause: `deliver` takes the end of any sound answer for the end of the stream. Now such an answer counts as broken off: the stream goes on elsewhere if it may, else its connection ends. Failed before, passes now: stream_ends, the first two cases.

--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -289,6 +289,11 @@
     {
         on_attempt_ended(attempt_outcome::upstream_error);
     }
+    else if (answer_begun_ && !current.is_stream)
+    {
+        // The caller has the beginning of a stream, which no other answer can end.
+        on_attempt_ended(attempt_outcome::truncated);
+    }
     else if (!is_whole(current))
     {
         record_lost_connection(current);
