Router: events of an encoded answer aren't passed on

What callers saw: a complete stream with bytes that aren't the upstream's body; on a resumed stream the two were joined. Cause: the encoding was looked at when the answer had ended, after its events had gone out. Now an encoded answer is no stream from its head on. Failed before, passes now: stream_ends, the two cases of encoded answers.

--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -24,6 +24,12 @@
 /// Bytes of one event of a stream. What goes on without the end of an event is no stream.
 constexpr std::size_t max_event_bytes = 1U << 20U;
 
+/// Callers ask for no encoding, so such a body isn't the upstream's.
+bool is_encoded(const http::response_head& head)
+{
+    return head.find(http::field::content_encoding) != head.end();
+}
+
 attempt_outcome outcome_of(http::call_failure failure)
 {
     switch (failure)
@@ -161,6 +167,7 @@
     }
     const bool success = head.result_int() >= 200 && head.result_int() < 300;
     current.is_stream = success && current.metadata.verified && route_->streaming &&
+                        !is_encoded(head) &&
                         view(head[http::field::content_type]).starts_with("text/event-stream");
     if (!current.is_stream)
     {
@@ -272,7 +279,6 @@
 {
     core_.pool.release(current.placement.target.id, std::move(current.connection));
     const auto code = current.head->result_int();
-    const bool encoded = current.head->find(http::field::content_encoding) != current.head->end();
     if (code == 421 && (current.metadata.other_instance || current.metadata.not_run))
     {
         on_attempt_ended(attempt_outcome::other_instance);
@@ -281,7 +287,7 @@
     {
         on_attempt_ended(attempt_outcome::refused);
     }
-    else if (!current.metadata.verified || encoded)
+    else if (!current.metadata.verified || is_encoded(*current.head))
     {
         on_attempt_ended(attempt_outcome::unknown);
     }
