Platform: an answer that names no request proves nothing

What callers could see: events of another request's answer, extra or late on a kept connection, as their own. Upstreams name the request in each answer; one that doesn't was taken for the one that waits. Now it isn't verified, so it is no success and no stream.

--- a/src/libcaraway/router/ports.hpp
+++ b/src/libcaraway/router/ports.hpp
@@ -34,7 +34,8 @@
 {
     /// The request that the response belongs to, if the head names one.
     std::optional<base::request_id> request;
-    /// The head proves that the upstream itself answered, and not something in between.
+    /// The head proves that the upstream itself answered, and not something in between, and names
+    /// the request.
     bool verified = false;
     /// The upstream guarantees that it did not run the request.
     bool not_run = false;
