Router: the only version on a list is taken for a stream's only after the store has answered

A stream that no router knew was taken to be of the only version listed if the list was no older than the notice of leaving. That age is a promise about upstreams that leave; of those that join nothing is promised, and a lookup finds nothing just where a router is out of step. A gap began only after that age, so shorter silences left no trace. Now the conclusion waits for an answer of the store to a call that began after the stream was resumed, half a second at most (router/version_sync): no stream begins at an upstream before its entry is in the store. What was seen is complete from the last whole listing on, and ends at the removal of an entry never seen; time without an answer is no gap, as the changes come with the next one. So that a router that starts needn't wait for that long: a record of what has served, in the store each six to nine seconds, from whose revision a reader goes on by the table's history. Three timeouts instead of two, as a run that is placed late lasts one.

--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -155,6 +155,14 @@
                        base::time_point expires)>
         record_origin = [](const auto&, const auto&, auto) {
         };
+    /// Calls back once the store has confirmed what is known of upstreams and, over `period`, of
+    /// the versions that they had, by answers to calls that began later; with false if it doesn't
+    /// answer soon.
+    std::function<void(base::duration period, std::function<void(bool)>)> confirm_versions =
+        [](auto, const auto& done)
+    {
+        done(false);
+    };
     /// Finds the origin of a stream, here or at other routers.
     std::function<void(const base::request_id& first_attempt, routing::origin_lookups::callback)>
         find_origin = [](const auto&, const auto& done)
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -85,6 +85,19 @@
           [this](const routing::endpoint& receiver, const std::string& bytes)
           { link_.send_datagram(receiver, bytes); },
           [this] { return peers_.reachable_keepers(core_.now()); }),
+      versions_(core_, platform_,
+                {.revision =
+                     [this] {
+                         return upstreams_->has_read() ? std::optional(upstreams_->revision())
+                                                       : std::nullopt;
+                     },
+                 .apply = [this](const auto& rows, auto revision)
+                 { apply_upstreams(rows, revision, "store_check"); },
+                 .store_time =
+                     [this]
+                 {
+                     return upstreams_->store_time(core_.now());
+                 }}),
       signals_(loop)
 {
 }
@@ -111,15 +124,7 @@
     {
         return relay_.unconfirmed_for(core_.now());
     };
-    core_.record_origin = [this](const auto& first_attempt, const auto& origin, auto expires)
-    {
-        origins_.record(first_attempt, origin, expires);
-    };
-    core_.find_origin = [this](const auto& first_attempt, auto done)
-    {
-        origins_.find(first_attempt, std::move(done));
-    };
-    core_.served_versions.record_gap(started_);
+    connect_stream_origins();
     open_tables(platform_);
     watch_signals();
     core_.log.line("start", {{"router", addresses.name.str()},
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -5,6 +5,7 @@
 #include "libcaraway/router/origin_exchange.hpp"
 #include "libcaraway/router/peer_link.hpp"
 #include "libcaraway/router/table_sync.hpp"
+#include "libcaraway/router/version_sync.hpp"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -120,6 +121,9 @@
     void update_warmups(base::time_point now);
     /// Keeps track of the software versions that serve.
     void record_versions(base::time_point now);
+    void connect_stream_origins();
+    /// Whether this router writes to the store for those of its zone that don't poll it.
+    bool is_zone_writer() const;
     /// Drops upstreams whose removal was delayed during an outage of the store, once no update can
     /// restore them.
     void drop_expired_upstreams(base::time_point now);
@@ -175,6 +179,7 @@
     std::uint64_t announced_mark_ = 0;
     peer_link link_;
     origin_exchange origins_;
+    version_sync versions_;
     boost::asio::signal_set signals_;
     http::owner_token owner_;
 
--- a/src/libcaraway/router/daemon_upstreams.cpp
+++ b/src/libcaraway/router/daemon_upstreams.cpp
@@ -31,6 +31,10 @@
         if (upstream_row.removed)
         {
             unreadable_keys_.erase(upstream_row.key);
+            if (core_.directory.revision_of(id) == 0)
+            {
+                core_.served_versions.record_gap(now);
+            }
             log_removed(id, source, upstream_row.revision,
                         name(core_.directory.remove(
                             id, {.revision = upstream_row.revision, .received = now})));
@@ -51,6 +55,7 @@
             log_removed(id, source, *listing_revision, "not_in_listing");
         }
         upstreams_listed_ = true;
+        core_.served_versions.record_gap(now);
     }
     if (upstream_rows_.size() > core_.directory.size())
     {
@@ -128,13 +133,13 @@
     const auto& entry = decoded.value();
     const auto* known = core_.directory.find(entry.id);
     const bool is_change = known == nullptr || known->draining != entry.draining;
+    core_.served_versions.record(entry.service, entry.software, core_.now());
     const auto change =
         core_.directory.put(entry, {.revision = upstream_row.revision, .received = core_.now()});
     if (change == routing::upstream_directory::change::outdated)
     {
         return false;
     }
-    core_.served_versions.record(entry.service, entry.software, core_.now());
     unreadable_keys_.erase(upstream_row.key);
     upstream_rows_[upstream_row.key] = upstream_row;
     const bool restarted = change == routing::upstream_directory::change::restarted;
@@ -170,18 +175,6 @@
     core_.expire_warmups();
 }
 
-void daemon::record_versions(base::time_point now)
-{
-    if (core_.upstreams_age() > core_.options.leaving_notice)
-    {
-        core_.served_versions.record_gap(now);
-    }
-    for (const auto& [id, upstream] : core_.directory.all())
-    {
-        core_.served_versions.record(upstream.service, upstream.software, now);
-    }
-}
-
 void daemon::discard_unreadable(const row& upstream_row, const base::error& reason)
 {
     // The previous entry is no longer valid: its row was overwritten, though not by the upstream.
--- a/src/libcaraway/router/ports.hpp
+++ b/src/libcaraway/router/ports.hpp
@@ -94,6 +94,8 @@
     std::uint64_t revision = 0;
     /// The store no longer keeps all changes since the requested revision; read the whole table.
     bool history_gone = false;
+    /// The store's steady clock, if the answer names it.
+    std::optional<std::chrono::milliseconds> store_time;
 };
 
 using rows_callback = std::function<void(base::result<rows_answer>)>;
@@ -117,6 +119,12 @@
     table_port configurations;
     table_port upstreams;
     table_port routers;
+    /// The table of upstreams again, for calls beside those that follow it: to confirm what is
+    /// known of it, and for its changes since an earlier revision.
+    table_port upstream_checks;
+    table_port upstream_changes;
+    /// The routers' record of the versions that have served, in a single row.
+    table_port version_records;
     /// Sends all further calls to this address of the store.
     std::function<void(const routing::endpoint&)> set_store_address;
     /// Key of the row that holds the accepted configuration.
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -63,8 +63,13 @@
     bool find_workspace();
     /// Whether the caller goes on with a stream that an earlier attempt began.
     bool resumes_stream() const;
+    /// Asks for the stream's origin: routers first; then, as none knows it, which origins it can
+    /// have.
     void find_stream_origin();
-    void on_stream_origin(std::optional<routing::stream_origin> origin);
+    void find_sole_origin();
+    /// Goes on with the stream, or refuses it if its origin isn't known. `source` is for the log.
+    void on_stream_origin(const std::optional<routing::stream_origin>& origin,
+                          std::string_view source);
     /// The only origin that the stream can have; empty if there are several or it isn't known.
     std::optional<routing::stream_origin> sole_origin() const;
     /// Binds the stream to the version that sends its first event, and lets other routers know.
--- a/src/libcaraway/router/request_streams.cpp
+++ b/src/libcaraway/router/request_streams.cpp
@@ -15,10 +15,6 @@
 constexpr std::chrono::seconds arrival_slack{2};
 /// Longest time for which a stream's origin is kept; protects arithmetic on times.
 constexpr std::chrono::hours max_stream_time{1};
-/// A stream is resumed within the time that its caller waits for the whole answer, at most this
-/// many times the route's timeout.
-constexpr int resumable_timeouts = 2;
-
 }  // namespace
 
 bool request_session::resumes_stream() const
@@ -30,31 +26,46 @@
 {
     if (!metadata_.resumed_attempt)
     {
-        on_stream_origin(std::nullopt);
+        find_sole_origin();
         return;
     }
     core_.find_origin(*metadata_.resumed_attempt,
                       [weak = weak_from_this()](const auto& origin)
                       {
-                          if (const auto self = weak.lock())
+                          const auto self = weak.lock();
+                          if (!self || self->ended_)
+                          {
+                              return;
+                          }
+                          if (origin)
                           {
-                              self->on_stream_origin(origin);
+                              self->on_stream_origin(origin, "told");
+                              return;
                           }
+                          self->find_sole_origin();
                       });
 }
 
-void request_session::on_stream_origin(std::optional<routing::stream_origin> origin)
+void request_session::find_sole_origin()
 {
-    if (ended_)
-    {
-        return;
-    }
-    origin_source_ = origin ? "told" : "";
-    if (!origin)
-    {
-        origin = sole_origin();
-        origin_source_ = origin ? "only_version" : "";
-    }
+    core_.confirm_versions(routing::resumable_period(*route_, core_.options.leaving_notice),
+                           [weak = weak_from_this()](bool is_confirmed)
+                           {
+                               const auto self = weak.lock();
+                               if (!self || self->ended_)
+                               {
+                                   return;
+                               }
+                               const auto origin =
+                                   is_confirmed ? self->sole_origin() : std::nullopt;
+                               self->on_stream_origin(origin, origin ? "only_version" : "");
+                           });
+}
+
+void request_session::on_stream_origin(const std::optional<routing::stream_origin>& origin,
+                                       std::string_view source)
+{
+    origin_source_ = source;
     const auto has_service = [&](const auto& each)
     {
         return each.service == origin->service;
@@ -77,14 +88,13 @@
 
 std::optional<routing::stream_origin> request_session::sole_origin() const
 {
-    const auto leaving_notice = core_.options.leaving_notice;
-    if (route_->services.size() != 1 || core_.upstreams_age() > leaving_notice)
+    if (route_->services.size() != 1)
     {
         return std::nullopt;
     }
     const auto& service = route_->services.front().service;
-    const auto period = resumable_timeouts * route_->timeout + leaving_notice;
-    const auto software = core_.served_versions.sole(service, period, core_.now());
+    const auto software = core_.served_versions.sole(
+        service, routing::resumable_period(*route_, core_.options.leaving_notice), core_.now());
     if (!software)
     {
         return std::nullopt;
--- a/src/libcaraway/router/table_sync.cpp
+++ b/src/libcaraway/router/table_sync.cpp
@@ -109,6 +109,10 @@
         fresh_since_ = now;
     }
     follower_.record_answer(result.value().revision, now);
+    if (const auto store_time = result.value().store_time)
+    {
+        store_clock_offset_ = *store_time - now.time_since_epoch();
+    }
     if (was_lost)
     {
         log_.line("store_back", {{"table", name_}, {"revision", follower_.revision()}});
@@ -125,6 +129,16 @@
     schedule();
 }
 
+std::optional<std::chrono::milliseconds> table_sync::store_time(base::time_point now) const
+{
+    if (!store_clock_offset_)
+    {
+        return std::nullopt;
+    }
+    return std::chrono::floor<std::chrono::milliseconds>(now.time_since_epoch() +
+                                                         *store_clock_offset_);
+}
+
 void table_sync::record_failure(const base::error& failure)
 {
     const bool was_lost = follower_.lost();
--- a/src/libcaraway/router/table_sync.hpp
+++ b/src/libcaraway/router/table_sync.hpp
@@ -59,6 +59,8 @@
     {
         return last_answer_;
     }
+    /// The store's clock by its last answer; empty if none named it.
+    std::optional<std::chrono::milliseconds> store_time(base::time_point now) const;
     std::uint64_t revision() const
     {
         return follower_.revision();
@@ -94,6 +96,8 @@
     std::uint64_t answers_ = 0;
     base::time_point called_{};
     base::time_point last_answer_{};
+    /// The store's clock less this router's.
+    std::optional<base::duration> store_clock_offset_;
     bool paused_ = false;
     /// A call is in flight, or a timer is set for the next.
     bool call_pending_ = false;
--- a/src/libcaraway/routing/served_versions.hpp
+++ b/src/libcaraway/routing/served_versions.hpp
@@ -6,12 +6,28 @@
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace caraway::routing
 {
 
+/// A software version that upstreams of a service had, and how long ago one was last listed.
+struct listed_version
+{
+    base::service_id service;
+    base::software_version software;
+    base::duration age{};
+};
+
+/// The versions that are known to have served, and for how long into the past there are no others.
+struct version_history
+{
+    std::vector<listed_version> versions;
+    base::duration complete_for{};
+};
+
 /// The software versions that upstreams of each service had in the platform's table, as far back
-/// as this router has followed it without a gap.
+/// as all changes of the table are known.
 class served_versions
 {
 public:
@@ -20,15 +36,27 @@
                 base::time_point now);
     /// Until now, versions may have come and gone unnoticed.
     void record_gap(base::time_point now);
+    /// Nothing has served before.
+    void record_first_start(base::time_point now);
+    /// Adds what another router knew, if nothing is missing between that and now.
+    void restore(const version_history& known, base::time_point now);
+    version_history history(base::time_point now) const;
+    /// Whether all versions that upstreams had within the last `period` are known.
+    bool is_complete(base::duration period, base::time_point now) const
+    {
+        return complete_for(now) >= period;
+    }
     /// The only version that upstreams of the service had within the last `period`; empty if there
     /// were several, or if it isn't known.
     std::optional<base::software_version> sole(const base::service_id& service,
                                                base::duration period, base::time_point now) const;
 
 private:
+    base::duration complete_for(base::time_point now) const;
+
     /// When an upstream with this version was last in the table.
     std::map<std::pair<base::service_id, base::software_version>, base::time_point> last_listed_;
-    base::time_point complete_since_ = base::time_point::max();
+    std::optional<base::time_point> complete_since_;
 };
 
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/table_relay.cpp
+++ b/src/libcaraway/routing/table_relay.cpp
@@ -184,6 +184,28 @@
     return preceding;
 }
 
+std::optional<base::node_id> table_relay::first_poller(bool polls_itself,
+                                                       base::time_point now) const
+{
+    std::optional<poller_order> first;
+    if (polls_itself)
+    {
+        first = poller_order_of(self_, is_store_unreachable(now), capacity_);
+    }
+    for (const auto& [id, peer] : peers_)
+    {
+        const bool is_silent =
+            now - peer.last_digest > fraction_of_notice(options_.silent_fraction);
+        if (!is_silent && peer.state.polls_store)
+        {
+            const bool is_deprioritized = peer.state.store_unreachable || is_stale(peer, now);
+            const auto order = poller_order_of(id, is_deprioritized, peer.capacity);
+            first = std::min(first.value_or(order), order);
+        }
+    }
+    return first ? std::optional(std::get<base::node_id>(*first)) : std::nullopt;
+}
+
 std::size_t table_relay::reachable_peer_count(base::time_point now) const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/src/libcaraway/routing/table_relay.hpp
+++ b/src/libcaraway/routing/table_relay.hpp
@@ -112,6 +112,9 @@
     /// The peer to copy from: one that polls the store and whose copy is newer and has other
     /// content. Empty if there is none.
     std::optional<base::node_id> source(base::time_point now) const;
+    /// The router of the zone that comes first among those that poll the store, this one included
+    /// if `polls_itself`; empty if none does.
+    std::optional<base::node_id> first_poller(bool polls_itself, base::time_point now) const;
     /// The time since a poller or the store last confirmed this router's copy.
     base::duration unconfirmed_for(base::time_point now) const
     {
