Router: origins of streams are kept in the store while several versions may have begun one

All that was known of a stream's version was in routers' memory. While several versions of a service can have begun a stream, the routers that poll the store write the origins of the streams that begin there, and of those that routers of their zone tell them which don't poll; each half a second, a row for two seconds. When a second version appears, the streams under way are written too. A router that is asked for a stream which no router knows, and which not only one version can have begun, reads them; once read, it answers other routers too. If the store is away, it refuses.

--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -163,6 +163,12 @@
     {
         done(false);
     };
+    /// Finds the origin of a stream in the platform's store.
+    std::function<void(const base::request_id& first_attempt, routing::origin_lookups::callback)>
+        find_stored_origin = [](const auto&, const auto& done)
+    {
+        done(std::nullopt);
+    };
     /// Finds the origin of a stream, here or at other routers.
     std::function<void(const base::request_id& first_attempt, routing::origin_lookups::callback)>
         find_origin = [](const auto&, const auto& done)
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -98,6 +98,13 @@
                  {
                      return upstreams_->store_time(core_.now());
                  }}),
+      stored_origins_(core_, platform_,
+                      {.store_time = [this] { return upstreams_->store_time(core_.now()); },
+                       .learned =
+                           [this](const auto& stream)
+                       {
+                           origins_.add(stream);
+                       }}),
       signals_(loop)
 {
 }
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -3,6 +3,7 @@
 #include "libcaraway/http/listener.hpp"
 #include "libcaraway/router/caller_door.hpp"
 #include "libcaraway/router/origin_exchange.hpp"
+#include "libcaraway/router/origin_store.hpp"
 #include "libcaraway/router/peer_link.hpp"
 #include "libcaraway/router/table_sync.hpp"
 #include "libcaraway/router/version_sync.hpp"
@@ -119,11 +120,18 @@
     /// time if it has just appeared.
     void record_warmup(const routing::upstream& entry, bool appeared);
     void update_warmups(base::time_point now);
-    /// Keeps track of the software versions that serve.
+    /// Keeps track of the software versions that serve, and of the services of which several may
+    /// have begun a stream.
     void record_versions(base::time_point now);
     void connect_stream_origins();
+    std::set<base::service_id> services_of_several_versions(base::time_point now) const;
     /// Whether this router writes to the store for those of its zone that don't poll it.
     bool is_zone_writer() const;
+    /// Whether this router is the one to keep the stream's origin in the store; `teller` is null if
+    /// the stream began here.
+    bool is_stored_here(const routing::known_stream& stream, const routing::endpoint* teller) const;
+    /// Where a router that doesn't poll the store has its streams' origins written.
+    std::optional<routing::endpoint> zone_writer() const;
     /// Drops upstreams whose removal was delayed during an outage of the store, once no update can
     /// restore them.
     void drop_expired_upstreams(base::time_point now);
@@ -180,6 +188,9 @@
     peer_link link_;
     origin_exchange origins_;
     version_sync versions_;
+    origin_store stored_origins_;
+    /// Services whose streams' origins are kept in the store.
+    std::set<base::service_id> stored_services_;
     boost::asio::signal_set signals_;
     http::owner_token owner_;
 
--- a/src/libcaraway/router/origin_exchange.cpp
+++ b/src/libcaraway/router/origin_exchange.cpp
@@ -1,6 +1,7 @@
 #include "libcaraway/router/origin_exchange.hpp"
 
 #include <map>
+#include <set>
 #include <utility>
 
 namespace caraway::router
@@ -44,12 +45,35 @@
 void origin_exchange::record(const base::request_id& first_attempt,
                              const routing::stream_origin& origin, base::time_point expires)
 {
-    const routing::known_stream stream{
-        .key = routing::key_of(first_attempt), .origin = origin, .expires = expires};
+    const routing::known_stream stream{.key = routing::key_of(first_attempt),
+                                       .origin = origin,
+                                       .expires = expires,
+                                       .is_own = true};
     known_.record(stream, core_.now());
+    learned(stream, nullptr);
     tell_soon(stream);
 }
 
+void origin_exchange::tell_again(const base::service_id& service)
+{
+    for (const auto& stream : known_.own(service, core_.now()))
+    {
+        learned(stream, nullptr);
+        tell_soon(stream);
+    }
+}
+
+void origin_exchange::add(const routing::known_stream& stream)
+{
+    known_.record(stream, core_.now());
+}
+
+std::optional<routing::stream_origin>
+origin_exchange::find_here(const base::request_id& first_attempt) const
+{
+    return known_.find(routing::key_of(first_attempt), core_.now());
+}
+
 void origin_exchange::tell_soon(const routing::known_stream& stream)
 {
     if (untold_.empty())
@@ -71,9 +95,18 @@
     };
     for (const auto& stream : streams)
     {
+        std::set<receiver> receivers;
         for (const auto* keeper : keepers.to_tell(stream.key, core_.options.zone))
         {
-            auto& message = *messages.try_emplace(receiver_of(keeper->datagrams)).first;
+            receivers.insert(receiver_of(keeper->datagrams));
+        }
+        if (const auto address = writer(stream))
+        {
+            receivers.insert(receiver_of(*address));
+        }
+        for (const auto& each : receivers)
+        {
+            auto& message = *messages.try_emplace(each).first;
             message.second.known.push_back(stream);
             if (message.second.known.size() >= max_streams_per_datagram)
             {
@@ -162,6 +195,7 @@
     for (const auto& stream : message.value().known)
     {
         known_.record(stream, core_.now());
+        learned(stream, &sender);
         lookups_.record_known(stream.key, stream.origin);
     }
     for (const auto key : message.value().unknown)
--- a/src/libcaraway/router/origin_exchange.hpp
+++ b/src/libcaraway/router/origin_exchange.hpp
@@ -20,6 +20,18 @@
 
     origin_exchange(core& router_core, datagram_sender send, keeper_source other_routers);
 
+    /// Is called with each stream that begins here or that another router tells of, and with the
+    /// address of that router.
+    std::function<void(const routing::known_stream&, const routing::endpoint* teller)> learned =
+        [](const auto&, const auto*) {
+        };
+    /// A further router to be told of a stream, which writes it to the platform's store.
+    std::function<std::optional<routing::endpoint>(const routing::known_stream&)> writer =
+        [](const auto&)
+    {
+        return std::nullopt;
+    };
+
     /// A stream began here. Other routers are told within a few milliseconds.
     void record(const base::request_id& first_attempt, const routing::stream_origin& origin,
                 base::time_point expires);
@@ -27,6 +39,12 @@
     /// it. Calls back at once if it is known here or there is nobody to ask.
     void find(const base::request_id& first_attempt, routing::origin_lookups::callback done);
     void receive(std::string_view bytes, const routing::endpoint& sender);
+    /// Adds a stream that was read from the store.
+    void add(const routing::known_stream& stream);
+    /// The origin, if it is known here.
+    std::optional<routing::stream_origin> find_here(const base::request_id& first_attempt) const;
+    /// Treats the service's streams that began here, and may be resumed, as if they just began.
+    void tell_again(const base::service_id& service);
     /// Tells other routers about all known streams, as this one is about to forget them.
     void hand_over();
     void expire();
--- a/src/libcaraway/router/ports.hpp
+++ b/src/libcaraway/router/ports.hpp
@@ -125,6 +125,9 @@
     table_port upstream_changes;
     /// The routers' record of the versions that have served, in a single row.
     table_port version_records;
+    /// Origins of streams: for reading, and for writing beside that.
+    table_port origins;
+    table_port origin_writes;
     /// Sends all further calls to this address of the store.
     std::function<void(const routing::endpoint&)> set_store_address;
     /// Key of the row that holds the accepted configuration.
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -64,9 +64,10 @@
     /// Whether the caller goes on with a stream that an earlier attempt began.
     bool resumes_stream() const;
     /// Asks for the stream's origin: routers first; then, as none knows it, which origins it can
-    /// have.
+    /// have; then the store.
     void find_stream_origin();
     void find_sole_origin();
+    void find_stored_origin();
     /// Goes on with the stream, or refuses it if its origin isn't known. `source` is for the log.
     void on_stream_origin(const std::optional<routing::stream_origin>& origin,
                           std::string_view source);
--- a/src/libcaraway/router/request_streams.cpp
+++ b/src/libcaraway/router/request_streams.cpp
@@ -58,10 +58,33 @@
                                }
                                const auto origin =
                                    is_confirmed ? self->sole_origin() : std::nullopt;
-                               self->on_stream_origin(origin, origin ? "only_version" : "");
+                               if (origin)
+                               {
+                                   self->on_stream_origin(origin, "only_version");
+                                   return;
+                               }
+                               self->find_stored_origin();
                            });
 }
 
+void request_session::find_stored_origin()
+{
+    if (!metadata_.resumed_attempt)
+    {
+        on_stream_origin(std::nullopt, "");
+        return;
+    }
+    core_.find_stored_origin(*metadata_.resumed_attempt,
+                             [weak = weak_from_this()](const auto& origin)
+                             {
+                                 const auto self = weak.lock();
+                                 if (self && !self->ended_)
+                                 {
+                                     self->on_stream_origin(origin, origin ? "stored" : "");
+                                 }
+                             });
+}
+
 void request_session::on_stream_origin(const std::optional<routing::stream_origin>& origin,
                                        std::string_view source)
 {
--- a/src/libcaraway/routing/peer_table.cpp
+++ b/src/libcaraway/routing/peer_table.cpp
@@ -307,6 +307,15 @@
     return reachable_count * 2 < recent_count;
 }
 
+const peer* peer_table::in_zone(const endpoint& datagrams) const
+{
+    const auto found =
+        std::find_if(peers_.begin(), peers_.end(),
+                     [&](const auto& each)
+                     { return each.second.datagrams == datagrams && each.second.zone == zone_; });
+    return found == peers_.end() ? nullptr : &found->second;
+}
+
 std::vector<origin_keeper> peer_table::reachable_keepers(base::time_point now) const
 {
     std::vector<origin_keeper> keepers;
--- a/src/libcaraway/routing/peer_table.hpp
+++ b/src/libcaraway/routing/peer_table.hpp
@@ -135,6 +135,8 @@
     /// since before `start`.
     bool any_fresh_since(base::time_point start, base::time_point now) const;
 
+    /// The peer of this router's zone with this datagram address; null if there is none.
+    const peer* in_zone(const endpoint& datagrams) const;
     /// The reachable peers that keep origins of other routers' streams.
     std::vector<origin_keeper> reachable_keepers(base::time_point now) const;
 
--- a/src/libcaraway/routing/stream_origins.cpp
+++ b/src/libcaraway/routing/stream_origins.cpp
@@ -19,13 +19,16 @@
     {
         if (streams_.size() < max_streams_)
         {
-            streams_.emplace(stream.key, entry{.origin = origin, .expires = stream.expires});
+            streams_.emplace(
+                stream.key,
+                entry{.origin = origin, .expires = stream.expires, .is_own = stream.is_own});
         }
         return;
     }
     auto& known = found->second;
     known.origin = known.origin == origin ? origin : conflicting;
     known.expires = std::max(known.expires, stream.expires);
+    known.is_own = known.is_own || stream.is_own;
 }
 
 std::optional<stream_origin> stream_origins::find(stream_key key, base::time_point now) const
@@ -62,12 +65,24 @@
     {
         if (each.expires > now && each.origin != conflicting)
         {
-            known.push_back({.key = key, .origin = origins_[each.origin], .expires = each.expires});
+            known.push_back({.key = key,
+                             .origin = origins_[each.origin],
+                             .expires = each.expires,
+                             .is_own = each.is_own});
         }
     }
     return known;
 }
 
+std::vector<known_stream> stream_origins::own(const base::service_id& service,
+                                              base::time_point now) const
+{
+    auto streams = all(now);
+    std::erase_if(streams, [&](const auto& stream)
+                  { return !stream.is_own || stream.origin.service != service; });
+    return streams;
+}
+
 std::size_t stream_origins::index_of(const stream_origin& origin)
 {
     const auto found = std::find(origins_.begin(), origins_.end(), origin);
--- a/src/libcaraway/routing/stream_origins.hpp
+++ b/src/libcaraway/routing/stream_origins.hpp
@@ -17,6 +17,8 @@
     stream_key key{};
     stream_origin origin;
     base::time_point expires{};
+    /// It began at this router.
+    bool is_own = false;
 };
 
 /// Origins of the streams that this router began or was told of.
@@ -37,6 +39,8 @@
     void expire(base::time_point now);
     /// All streams whose origin is known.
     std::vector<known_stream> all(base::time_point now) const;
+    /// The streams of the service that began at this router.
+    std::vector<known_stream> own(const base::service_id& service, base::time_point now) const;
     std::size_t size() const
     {
         return streams_.size();
@@ -48,6 +52,7 @@
         /// Position in `origins_`; `conflicting` if two origins were recorded.
         std::size_t origin = 0;
         base::time_point expires{};
+        bool is_own = false;
     };
     static constexpr std::size_t conflicting = static_cast<std::size_t>(-1);
 
--- a/src/libcaraway/routing/table_relay.cpp
+++ b/src/libcaraway/routing/table_relay.cpp
@@ -206,6 +206,12 @@
     return first ? std::optional(std::get<base::node_id>(*first)) : std::nullopt;
 }
 
+bool table_relay::polls_store(const base::node_id& peer) const
+{
+    const auto known = peers_.find(peer);
+    return known != peers_.end() && known->second.state.polls_store;
+}
+
 std::size_t table_relay::reachable_peer_count(base::time_point now) const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/src/libcaraway/routing/table_relay.hpp
+++ b/src/libcaraway/routing/table_relay.hpp
@@ -115,6 +115,8 @@
     /// The router of the zone that comes first among those that poll the store, this one included
     /// if `polls_itself`; empty if none does.
     std::optional<base::node_id> first_poller(bool polls_itself, base::time_point now) const;
+    /// Whether the router of this zone is known to poll the store.
+    bool polls_store(const base::node_id& peer) const;
     /// The time since a poller or the store last confirmed this router's copy.
     base::duration unconfirmed_for(base::time_point now) const
     {
