Router: the record of served versions is read once a second at most; Tests: a delayed view of the store takes no writes

While versions are missing each question read the record again and logged it, some hundred lines a second in routers_out_of_step, so that other lines were dropped (seen once as a missing `store_lost`).

--- a/src/libcaraway/router/version_sync.cpp
+++ b/src/libcaraway/router/version_sync.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds record_check_period{6000};
 constexpr milliseconds record_check_spread{3000};
 constexpr milliseconds min_record_age{5000};
+/// While versions are missing the record is read no more often.
+constexpr milliseconds record_read_period{1000};
 
 }  // namespace
 
@@ -98,7 +100,9 @@
     {
         period = std::max(period, each.period);
     }
-    if (core_.served_versions.is_complete(period, core_.now()) || record_busy_)
+    const auto now = core_.now();
+    const bool is_read_due = now >= next_record_read_ && !record_busy_;
+    if (core_.served_versions.is_complete(period, now) || !is_read_due)
     {
         end_round(true);
         return;
@@ -109,6 +113,7 @@
 void version_sync::read_record(std::function<void()> done)
 {
     record_busy_ = true;
+    next_record_read_ = core_.now() + record_read_period;
     const auto finish = [this, done = std::move(done)]
     {
         record_busy_ = false;
--- a/src/libcaraway/router/version_sync.hpp
+++ b/src/libcaraway/router/version_sync.hpp
@@ -69,6 +69,7 @@
     /// When the record was written last, by the store's clock; empty if none was found.
     std::optional<std::chrono::milliseconds> last_record_;
     base::time_point next_record_{};
+    base::time_point next_record_read_{};
     http::owner_token owner_;
 };
 
--- a/tests/users_platform/stand_in_store.hpp
+++ b/tests/users_platform/stand_in_store.hpp
@@ -34,6 +34,8 @@
     bool unavailable = false;
     /// Accepts calls and never answers them.
     bool unresponsive = false;
+    /// Answers writes with 503, as a view of another store that must get no revisions of its own.
+    bool refuses_writes = false;
     /// Applies writes, then closes the connection without an answer.
     bool drops_answers = false;
     /// Followers get only the last change of each row.
--- a/tests/users_platform/test_leaving.cpp
+++ b/tests/users_platform/test_leaving.cpp
@@ -78,6 +78,7 @@
 {
     stand_in_store delayed_store(loop, timers);
     delayed_store.copy_from(store);
+    delayed_store.refuses_writes = true;
     auto& peer = start_router_at(delayed_store, "r2", true);
     seeds = {peer.options().control};
     auto& router = start_router();
