--- a/src/libcaraway/router/origin_store.cpp
+++ b/src/libcaraway/router/origin_store.cpp
@@ -1,5 +1,6 @@
 #include "libcaraway/router/origin_store.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace caraway::router
@@ -24,6 +25,8 @@
 constexpr std::int64_t process_count = 4;
 /// Of 12 to 15 bytes each; a row of the store holds 65,536.
 constexpr std::size_t max_streams_per_row = 3000;
+/// Bounds the memory while the store is away; the oldest streams are given up first.
+constexpr std::size_t max_unwritten_streams = 20000;
 /// A reading that began no longer ago than this is used again.
 constexpr milliseconds read_period{500};
 constexpr milliseconds read_timeout{700};
@@ -52,13 +55,29 @@
     core_.timers.after(delay, owner_.guard([this] { write(); }));
 }
 
-std::string origin_store::key_at(milliseconds store_time, std::size_t part) const
+std::string origin_store::slot_at(milliseconds store_time) const
 {
     const auto slot = store_time / slot_length % slot_count;
     const auto process =
         std::chrono::floor<std::chrono::seconds>(*first_write_).count() % process_count;
-    return core_.options.name.str() + "/" + std::to_string(process) + "/" + std::to_string(slot) +
-           "/" + std::to_string(part);
+    return core_.options.name.str() + "/" + std::to_string(process) + "/" + std::to_string(slot);
+}
+
+void origin_store::fill_row(std::string slot)
+{
+    if (slot != row_.slot)
+    {
+        row_ = {.slot = std::move(slot)};
+    }
+    else if (row_.streams.size() >= max_streams_per_row)
+    {
+        ++row_.part;
+        row_.streams.clear();
+    }
+    const auto count = std::min(added_.size(), max_streams_per_row - row_.streams.size());
+    const auto last = added_.begin() + static_cast<std::ptrdiff_t>(count);
+    row_.streams.insert(row_.streams.end(), added_.begin(), last);
+    added_.erase(added_.begin(), last);
 }
 
 void origin_store::write()
@@ -71,33 +90,32 @@
         return;
     }
     first_write_ = first_write_.value_or(*store_time);
-    const bool is_full = row_.streams.size() >= max_streams_per_row;
-    part_ = key_at(*store_time, part_) == row_.key && is_full ? part_ + 1 : part_;
-    if (key_at(*store_time, part_) != row_.key)
-    {
-        part_ = is_full ? part_ : 0;
-        row_ = {.key = key_at(*store_time, part_)};
-    }
-    const auto count = std::min(added_.size(), max_streams_per_row - row_.streams.size());
-    const auto last = added_.begin() + static_cast<std::ptrdiff_t>(count);
-    row_.streams.insert(row_.streams.end(), added_.begin(), last);
-    added_.erase(added_.begin(), last);
+    fill_row(slot_at(*store_time));
     const routing::stored_origins stored{.store_time = *store_time, .streams = row_.streams};
     write_pending_ = true;
-    writes_.write({.key = row_.key, .value = routing::encode(stored, core_.now())},
-                  owner_.guard(
-                      [this](const base::result<void>& result)
-                      {
-                          write_pending_ = false;
-                          if (!result)
-                          {
-                              write_later(write_retry_delay);
-                          }
-                          else if (!added_.empty())
-                          {
-                              write_later(write_delay);
-                          }
-                      }));
+    writes_.write({.key = row_.slot + "/" + std::to_string(row_.part),
+                   .value = routing::encode(stored, core_.now())},
+                  owner_.guard([this](const base::result<void>& result)
+                               { on_written(static_cast<bool>(result)); }));
+}
+
+void origin_store::on_written(bool is_written)
+{
+    write_pending_ = false;
+    if (!is_written)
+    {
+        // Written again with what comes meanwhile, in the row of that time.
+        added_.insert(added_.begin(), row_.streams.begin(), row_.streams.end());
+        row_ = {};
+        std::erase_if(added_,
+                      [now = core_.now()](const auto& each) { return each.expires <= now; });
+        const auto excess = added_.size() - std::min(added_.size(), max_unwritten_streams);
+        added_.erase(added_.begin(), added_.begin() + static_cast<std::ptrdiff_t>(excess));
+    }
+    if (!added_.empty())
+    {
+        write_later(is_written ? write_delay : write_retry_delay);
+    }
 }
 
 void origin_store::load(callback done)
--- a/src/libcaraway/router/origin_store.hpp
+++ b/src/libcaraway/router/origin_store.hpp
@@ -33,16 +33,21 @@
     void load(callback done);
 
 private:
-    /// What one row holds: the streams that began within a slot of the store's time.
+    /// The row that is being filled: streams that began within a slot of the store's time, which
+    /// takes further rows if one can't hold them.
     struct open_row
     {
-        std::string key;
+        std::string slot;
+        std::size_t part = 0;
         std::vector<routing::known_stream> streams;
     };
 
     void write();
     void write_later(std::chrono::milliseconds delay);
-    std::string key_at(std::chrono::milliseconds store_time, std::size_t part) const;
+    std::string slot_at(std::chrono::milliseconds store_time) const;
+    /// Moves streams that aren't written yet to the row of this slot, as many as fit.
+    void fill_row(std::string slot);
+    void on_written(bool is_written);
     void begin_read();
     void on_rows(const base::result<rows_answer>& result, bool is_whole);
     void end_read();
@@ -55,7 +60,6 @@
     /// Streams that are in no row yet.
     std::vector<routing::known_stream> added_;
     open_row row_;
-    std::size_t part_ = 0;
     /// By the store's clock: rows of earlier processes of this router are told apart by it.
     std::optional<std::chrono::milliseconds> first_write_;
     bool write_scheduled_ = false;
