Router: what has served comes with a copy of the tables; routers that poll the store ask for it when it is missing

Now a copy of the tables carries what its sender knows, if it is no older than this router's; a router that polls asks each five seconds until it knows.

--- a/src/libcaraway/router/daemon_peers.cpp
+++ b/src/libcaraway/router/daemon_peers.cpp
@@ -178,7 +178,8 @@
         peers_.add_discovered(each, core_.now());
     }
     const bool paused = upstreams_->is_paused();
-    const bool newer = paused && copy.state.revision >= upstreams_->revision();
+    const bool is_current = copy.state.revision >= upstreams_->revision();
+    const bool newer = paused && is_current;
     const bool needed = newer || upstreams_->store_unreachable() || !upstreams_->has_read();
     const bool has_upstreams = copy.partial || !copy.upstreams.empty();
     if (!needed || !has_upstreams)
@@ -192,6 +193,10 @@
                                  {"upstreams", copy.upstreams.size()}});
     const auto listing_revision = copy.partial ? std::nullopt : std::optional(copy.state.revision);
     apply_upstreams(copy.upstreams, listing_revision, copy.sender.str());
+    if (is_current)
+    {
+        core_.served_versions.restore(copy.versions, core_.now());
+    }
     const bool upstreams_equal = core_.directory.content_hash() == copy.state.content_hash;
     if (copy.partial && !upstreams_equal)
     {
@@ -234,6 +239,7 @@
         .position = {.incarnation = incarnation_, .changes = core_.directory.changes().position()},
         .version = core_.version(),
         .state = tables(),
+        .versions = core_.served_versions.history(core_.now()),
         .zones = core_.directory.zones().updates()};
     if (peer_version < copy.version)
     {
--- a/src/libcaraway/router/daemon_streams.cpp
+++ b/src/libcaraway/router/daemon_streams.cpp
@@ -7,6 +7,15 @@
 namespace caraway::router
 {
 
+namespace
+{
+
+/// Time between two questions of a router that polls the store for versions that it doesn't know;
+/// the others copy them.
+constexpr std::chrono::milliseconds version_check_period{5000};
+
+}  // namespace
+
 void daemon::connect_stream_origins()
 {
     core_.record_origin = [this](const auto& first_attempt, const auto& origin, auto expires)
@@ -58,6 +67,34 @@
     {
         versions_.keep_record(now);
     }
+    complete_versions(now);
+}
+
+void daemon::complete_versions(base::time_point now)
+{
+    const bool may_be_missing = !stored_services_.empty() && !upstreams_->is_paused();
+    const auto period = longest_resumable_period();
+    if (!may_be_missing || now < next_version_check_ ||
+        core_.served_versions.is_complete(period, now))
+    {
+        return;
+    }
+    next_version_check_ = now + version_check_period;
+    versions_.confirm(period, [](bool) {});
+}
+
+base::duration daemon::longest_resumable_period() const
+{
+    base::duration longest{};
+    if (const auto table = core_.table())
+    {
+        for (const auto& route : table->accepted().routes)
+        {
+            longest =
+                std::max(longest, routing::resumable_period(route, core_.options.leaving_notice));
+        }
+    }
+    return longest;
 }
 
 std::set<base::service_id> daemon::services_of_several_versions(base::time_point now) const
--- a/src/libcaraway/router/table_copy.cpp
+++ b/src/libcaraway/router/table_copy.cpp
@@ -11,6 +11,42 @@
 using nlohmann::json;
 using routing::endpoint_json;
 using routing::parse_endpoint;
+using std::chrono::milliseconds;
+
+json versions_json(const routing::version_history& history)
+{
+    auto versions = json::array();
+    for (const auto& each : history.versions)
+    {
+        versions.push_back({each.service.str(), each.software.str(),
+                            std::chrono::ceil<milliseconds>(each.age).count()});
+    }
+    return {{"complete_ms", std::chrono::floor<milliseconds>(history.complete_for).count()},
+            {"versions", versions}};
+}
+
+milliseconds parse_age(const json& encoded)
+{
+    return milliseconds(encoded.get<std::uint32_t>());
+}
+
+routing::version_history parse_versions(const json& encoded)
+{
+    routing::version_history history;
+    if (!encoded.is_object())
+    {
+        return history;
+    }
+    history.complete_for = parse_age(encoded.at("complete_ms"));
+    for (const auto& each : encoded.at("versions"))
+    {
+        history.versions.push_back(
+            {.service = base::service_id(each.at(0).get<std::string>()),
+             .software = base::software_version(each.at(1).get<std::string>()),
+             .age = parse_age(each.at(2))});
+    }
+    return history;
+}
 
 }  // namespace
 
@@ -38,6 +74,7 @@
                 {"revision", copy.state.revision},
                 {"mark", copy.state.content_hash},
                 {"answer_age_ms", copy.state.answer_age.count()},
+                {"served", versions_json(copy.versions)},
                 {"zones", routing::zone_updates_json(copy.zones)},
                 {"routers", routers}}
         .dump(-1, ' ', false, json::error_handler_t::replace);
@@ -60,6 +97,7 @@
                       .content_hash = object.at("mark").get<std::uint64_t>(),
                       .answer_age = std::chrono::milliseconds(
                           object.value("answer_age_ms", std::int64_t{0}))},
+            .versions = parse_versions(object.value("served", json())),
             .zones = routing::parse_zone_updates(object.at("zones"))};
         for (const auto& each : object.at("upstreams"))
         {
--- a/src/libcaraway/router/table_copy.hpp
+++ b/src/libcaraway/router/table_copy.hpp
@@ -2,6 +2,7 @@
 
 #include "libcaraway/router/ports.hpp"
 #include "libcaraway/routing/peer_table.hpp"
+#include "libcaraway/routing/served_versions.hpp"
 
 #include <optional>
 
@@ -34,6 +35,9 @@
     std::vector<row> upstreams;
     /// State of the sender's tables that `upstreams` was copied from.
     routing::table_state state;
+    /// What has served by the sender's tables, as of that state; of routers that don't tell,
+    /// nothing.
+    routing::version_history versions;
     /// Latest update on each availability zone: whether the zone is drained.
     std::vector<routing::zone_update> zones;
     /// The sender and the routers known to it, with names and addresses only. A partial copy holds
