--- a/src/libcaraway/routing/known_streams.cpp
+++ b/src/libcaraway/routing/known_streams.cpp
@@ -99,9 +99,8 @@
     in.array(stored_field_count);
     const bool is_stored = in.text() == stored_kind;
     stored_origins stored{.store_time = std::chrono::milliseconds(in.integer<std::int64_t>())};
-    const auto age = std::clamp<std::chrono::milliseconds>(store_time - stored.store_time,
-                                                           std::chrono::milliseconds(0),
-                                                           2 * max_time_left);
+    const auto age = std::clamp<std::chrono::milliseconds>(
+        store_time - stored.store_time, std::chrono::milliseconds(0), 2 * max_time_left);
     stored.streams = read_known_streams(in, now - age);
     if (!is_stored || in.failed() || !in.at_end())
     {
--- a/tests/odd_entries/test_odd_entries.cpp
+++ b/tests/odd_entries/test_odd_entries.cpp
@@ -18,9 +18,9 @@
 /// An entry as upstreams write it, but for the field that is replaced by this JSON text.
 std::string entry_with(const std::string& field, const std::string& value)
 {
-    auto entry = json{{"backend", "plain"}, {"address", "127.0.0.1:4"}, {"zone", "z1"},
-                      {"version", "v1"},    {"slots", 4},               {"state", "ready"},
-                      {"sequence", 1}};
+    auto entry =
+        json{{"backend", "plain"}, {"address", "127.0.0.1:4"}, {"zone", "z1"}, {"version", "v1"},
+             {"slots", 4},         {"state", "ready"},         {"sequence", 1}};
     entry[field] = "@";
     auto text = entry.dump();
     const std::string placeholder = "\"@\"";
@@ -94,7 +94,8 @@
     store.rows_per_answer = 2;
     store.put("servers", "i-0", "{}");
     add_upstream(second);
-    for (const auto* key : {"i-0 odd", "i-0&from=x", "i-0%ff", "i-0#", "i-0?x=\r\n\r\n", "i-0\xc3\xa4"})
+    for (const auto* key :
+         {"i-0 odd", "i-0&from=x", "i-0%ff", "i-0#", "i-0?x=\r\n\r\n", "i-0\xc3\xa4"})
     {
         store.put("servers", key, "{}");
         auto& router = start_router("r1", false);
@@ -114,8 +115,7 @@
     BOOST_REQUIRE(routing::is_origin_message(nested));
     bool is_read = true;
     run_with_stack(stack_bytes,
-                   [&]
-                   {
+                   [&] {
                        is_read = static_cast<bool>(
                            routing::decode_origin_message(nested, base::time_point{}));
                    });
--- a/tests/stream_ends/test_stream_ends.cpp
+++ b/tests/stream_ends/test_stream_ends.cpp
@@ -66,8 +66,9 @@
 {
     for (const unsigned code : {400U, 404U, 409U, 429U})
     {
-        const auto caller = break_off_and([code](const run& current)
-                                          { current.exchange->respond(sealed_head(current, code), "no"); });
+        const auto caller =
+            break_off_and([code](const run& current)
+                          { current.exchange->respond(sealed_head(current, code), "no"); });
         BOOST_TEST(!is_complete(caller), "after status " << code);
         routers.clear();
         for (auto* engine : engines())
@@ -132,14 +133,13 @@
 BOOST_AUTO_TEST_CASE(an_answer_that_names_no_request_is_not_taken_for_the_one_that_waits)
 {
     start_routers(1, {&old_1});
-    old_1.next_behaviours.assign(
-        1,
-        [](stand_in_runner& serving, const run& current)
-        {
-            serving.begin_stream(current);
-            serving.send_event(current, 1);
-            current.exchange->finish();
-        });
+    old_1.next_behaviours.assign(1,
+                                 [](stand_in_runner& serving, const run& current)
+                                 {
+                                     serving.begin_stream(current);
+                                     serving.send_event(current, 1);
+                                     current.exchange->finish();
+                                 });
     const auto first = begin_stream(0, "id-1");
     BOOST_REQUIRE(becomes_true([&] { return is_complete(first); }));
     old_1.next_behaviours.assign(1,
