Router: origins are written only where several versions are known to have served; the record a second after the start

Now two versions have to be known; what is only unknown isn't written. What that costs: after a kill of all during such gaps, streams that nobody knows are refused.

--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -120,12 +120,8 @@
     /// time if it has just appeared.
     void record_warmup(const routing::upstream& entry, bool appeared);
     void update_warmups(base::time_point now);
-    /// Keeps track of the software versions that serve, and of the services of which several may
-    /// have begun a stream.
+    /// Keeps track of the software versions that serve, and of the services with several.
     void record_versions(base::time_point now);
-    /// Asks the store for the versions that served before this router did, if they are missing.
-    void complete_versions(base::time_point now);
-    base::duration longest_resumable_period() const;
     void connect_stream_origins();
     std::set<base::service_id> services_of_several_versions(base::time_point now) const;
     /// Whether this router writes to the store for those of its zone that don't poll it.
@@ -228,7 +224,6 @@
     base::time_point next_table_request_{};
     base::time_point next_own_row_{};
     base::time_point next_routers_read_{};
-    base::time_point next_version_check_{};
     std::chrono::milliseconds routers_read_interval_{};
     std::size_t next_seed_ = 0;
     base::time_point next_report_{};
--- a/src/libcaraway/router/daemon_streams.cpp
+++ b/src/libcaraway/router/daemon_streams.cpp
@@ -10,9 +10,8 @@
 namespace
 {
 
-/// Time between two questions of a router that polls the store for versions that it doesn't know;
-/// the others copy them.
-constexpr std::chrono::milliseconds version_check_period{5000};
+/// When a fleet starts, each router takes itself for the first of its zone until it knows others.
+constexpr std::chrono::milliseconds record_start_delay{1000};
 
 }  // namespace
 
@@ -63,38 +62,14 @@
             origins_.tell_again(service);
         }
     }
-    if (!upstreams_->is_paused() && is_zone_writer())
-    {
-        versions_.keep_record(now);
-    }
-    complete_versions(now);
-}
-
-void daemon::complete_versions(base::time_point now)
-{
-    const bool may_be_missing = !stored_services_.empty() && !upstreams_->is_paused();
-    const auto period = longest_resumable_period();
-    if (!may_be_missing || now < next_version_check_ ||
-        core_.served_versions.is_complete(period, now))
+    if (now - started_ < record_start_delay || upstreams_->is_paused())
     {
         return;
     }
-    next_version_check_ = now + version_check_period;
-    versions_.confirm(period, [](bool) {});
-}
-
-base::duration daemon::longest_resumable_period() const
-{
-    base::duration longest{};
-    if (const auto table = core_.table())
+    if (is_zone_writer())
     {
-        for (const auto& route : table->accepted().routes)
-        {
-            longest =
-                std::max(longest, routing::resumable_period(route, core_.options.leaving_notice));
-        }
+        versions_.keep_record(now);
     }
-    return longest;
 }
 
 std::set<base::service_id> daemon::services_of_several_versions(base::time_point now) const
@@ -110,7 +85,7 @@
         const auto period = routing::resumable_period(route, core_.options.leaving_notice);
         for (const auto& each : route.services)
         {
-            if (route.resumable && !core_.served_versions.sole(each.service, period, now))
+            if (route.resumable && core_.served_versions.are_several(each.service, period, now))
             {
                 services.insert(each.service);
             }
--- a/src/libcaraway/router/version_sync.cpp
+++ b/src/libcaraway/router/version_sync.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds min_record_age{5000};
 /// While versions are missing the record is read no more often.
 constexpr milliseconds record_read_period{1000};
+/// A router that knows as much needs no record: streams last for less.
+constexpr std::chrono::minutes longest_use{10};
 
 }  // namespace
 
@@ -151,6 +153,12 @@
         return;
     }
     last_record_ = record.value().store_time;
+    const auto known = core_.served_versions.history(core_.now()).complete_for;
+    if (known >= record.value().history.complete_for && known >= longest_use)
+    {
+        done();
+        return;
+    }
     read_changes_since(record.value(), done);
 }
 
--- a/src/libcaraway/routing/served_versions.cpp
+++ b/src/libcaraway/routing/served_versions.cpp
@@ -64,20 +64,23 @@
     {
         return std::nullopt;
     }
-    std::optional<base::software_version> only;
+    const auto listed = listed_within(service, period, now);
+    return listed.size() == 1 ? std::optional(listed.front()) : std::nullopt;
+}
+
+std::vector<base::software_version> served_versions::listed_within(const base::service_id& service,
+                                                                   base::duration period,
+                                                                   base::time_point now) const
+{
+    std::vector<base::software_version> listed;
     for (const auto& [version, listed_at] : last_listed_)
     {
-        if (version.first != service || now - listed_at > period)
-        {
-            continue;
-        }
-        if (only)
+        if (version.first == service && now - listed_at <= period)
         {
-            return std::nullopt;
+            listed.push_back(version.second);
         }
-        only = version.second;
     }
-    return only;
+    return listed;
 }
 
 base::duration served_versions::complete_for(base::time_point now) const
--- a/src/libcaraway/routing/served_versions.hpp
+++ b/src/libcaraway/routing/served_versions.hpp
@@ -51,7 +51,18 @@
     std::optional<base::software_version> sole(const base::service_id& service,
                                                base::duration period, base::time_point now) const;
 
+    /// Whether upstreams of the service are known to have had several versions within the last
+    /// `period`.
+    bool are_several(const base::service_id& service, base::duration period,
+                     base::time_point now) const
+    {
+        return listed_within(service, period, now).size() > 1;
+    }
+
 private:
+    std::vector<base::software_version> listed_within(const base::service_id& service,
+                                                      base::duration period,
+                                                      base::time_point now) const;
     base::duration complete_for(base::time_point now) const;
 
     /// When an upstream with this version was last in the table.
