Router: the record of served versions begins later in larger fleets

At a start each router takes itself for the first of its zone until it knows others, which takes the longer the more there are, and all of those read the record.

--- a/src/libcaraway/router/daemon_streams.cpp
+++ b/src/libcaraway/router/daemon_streams.cpp
@@ -12,6 +12,8 @@
 
 /// When a fleet starts, each router takes itself for the first of its zone until it knows others.
 constexpr std::chrono::milliseconds record_start_delay{1000};
+/// Routers hear of each other the later the more there are.
+constexpr std::chrono::milliseconds record_start_delay_per_peer{25};
 
 }  // namespace
 
@@ -62,7 +64,9 @@
             origins_.tell_again(service);
         }
     }
-    if (now - started_ < record_start_delay || upstreams_->is_paused())
+    const auto start_delay =
+        record_start_delay + static_cast<int>(peers_.size()) * record_start_delay_per_peer;
+    if (now - started_ < start_delay || upstreams_->is_paused())
     {
         return;
     }
