--- a/src/libcaraway/routing/table_relay.cpp
+++ b/src/libcaraway/routing/table_relay.cpp
@@ -164,6 +164,16 @@
            now - peer.last_answer > fraction_of_notice(options_.stale_fraction);
 }
 
+bool table_relay::is_silent(const peer_state& peer, base::time_point now) const
+{
+    return now - peer.last_digest > fraction_of_notice(options_.silent_fraction);
+}
+
+bool table_relay::is_deprioritized(const peer_state& peer, base::time_point now) const
+{
+    return peer.state.store_unreachable || is_stale(peer, now);
+}
+
 bool table_relay::is_source(const peer_state& peer, base::time_point now) const
 {
     return peer.state.polls_store && !peer.state.store_unreachable && !is_stale(peer, now);
@@ -175,11 +185,8 @@
     std::size_t preceding = 0;
     for (const auto& [id, peer] : peers_)
     {
-        const bool is_silent =
-            now - peer.last_digest > fraction_of_notice(options_.silent_fraction);
-        const bool is_deprioritized = peer.state.store_unreachable || is_stale(peer, now);
-        preceding +=
-            !is_silent && poller_order_of(id, is_deprioritized, peer.capacity) < own ? 1 : 0;
+        const auto order = poller_order_of(id, is_deprioritized(peer, now), peer.capacity);
+        preceding += !is_silent(peer, now) && order < own ? 1 : 0;
     }
     return preceding;
 }
@@ -194,12 +201,9 @@
     }
     for (const auto& [id, peer] : peers_)
     {
-        const bool is_silent =
-            now - peer.last_digest > fraction_of_notice(options_.silent_fraction);
-        if (!is_silent && peer.state.polls_store)
+        if (!is_silent(peer, now) && peer.state.polls_store)
         {
-            const bool is_deprioritized = peer.state.store_unreachable || is_stale(peer, now);
-            const auto order = poller_order_of(id, is_deprioritized, peer.capacity);
+            const auto order = poller_order_of(id, is_deprioritized(peer, now), peer.capacity);
             first = std::min(first.value_or(order), order);
         }
     }
@@ -214,10 +218,9 @@
 
 std::size_t table_relay::reachable_peer_count(base::time_point now) const
 {
-    return static_cast<std::size_t>(std::count_if(
-        peers_.begin(), peers_.end(),
-        [&](const auto& peer)
-        { return now - peer.second.last_digest <= fraction_of_notice(options_.silent_fraction); }));
+    return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(),
+                                                  [&](const auto& peer)
+                                                  { return !is_silent(peer.second, now); }));
 }
 
 base::duration table_relay::fraction_of_notice(double fraction) const
--- a/src/libcaraway/routing/table_relay.hpp
+++ b/src/libcaraway/routing/table_relay.hpp
@@ -144,6 +144,10 @@
     /// An answer of the store at this time confirmed the copy.
     void confirm(base::time_point answered);
     bool is_stale(const peer_state& peer, base::time_point now) const;
+    /// Has sent no digest lately: considered dead.
+    bool is_silent(const peer_state& peer, base::time_point now) const;
+    /// Comes after the routers that can reach the store.
+    bool is_deprioritized(const peer_state& peer, base::time_point now) const;
     bool is_source(const peer_state& peer, base::time_point now) const;
     std::size_t rank(base::time_point now) const;
     std::size_t reachable_peer_count(base::time_point now) const;
