Router: callbacks of resumed streams, and an absent record, without repeated conditions

Reading the change again: three callbacks each locked the session and asked whether it had ended (now request_session::unless_ended); an absent record was made an error to be told apart from an unreadable one two lines later; record_versions also kept the record in the store, now a function of its own. No behaviour changed: stream_versions, routers_all_killed, routers_out_of_step, stream_ends and routing pass as before.

--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -122,6 +122,8 @@
     void update_warmups(base::time_point now);
     /// Keeps track of the software versions that serve, and of the services with several.
     void record_versions(base::time_point now);
+    /// Keeps the record of that in the store, for all routers of the zone.
+    void keep_version_record(base::time_point now);
     void connect_stream_origins();
     std::set<base::service_id> services_of_several_versions(base::time_point now) const;
     /// Whether this router writes to the store for those of its zone that don't poll it.
--- a/src/libcaraway/router/daemon_streams.cpp
+++ b/src/libcaraway/router/daemon_streams.cpp
@@ -2,7 +2,7 @@
 // the platform's store.
 #include "libcaraway/router/daemon.hpp"
 
-#include <algorithm>
+#include <utility>
 
 namespace caraway::router
 {
@@ -64,13 +64,14 @@
             origins_.tell_again(service);
         }
     }
+    keep_version_record(now);
+}
+
+void daemon::keep_version_record(base::time_point now)
+{
     const auto start_delay =
         record_start_delay + static_cast<int>(peers_.size()) * record_start_delay_per_peer;
-    if (now - started_ < start_delay || upstreams_->is_paused())
-    {
-        return;
-    }
-    if (is_zone_writer())
+    if (now - started_ >= start_delay && !upstreams_->is_paused() && is_zone_writer())
     {
         versions_.keep_record(now);
     }
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -66,6 +66,19 @@
     /// Asks for the stream's origin: routers first; then, as none knows it, which origins it can
     /// have; then the store.
     void find_stream_origin();
+    /// The action, to be called back with a value; does nothing once the session has ended.
+    template <class Action>
+    auto unless_ended(Action action)
+    {
+        return [weak = weak_from_this(), action](const auto& value)
+        {
+            const auto self = weak.lock();
+            if (self && !self->ended_)
+            {
+                action(value);
+            }
+        };
+    }
     void find_sole_origin();
     void find_stored_origin();
     /// Goes on with the stream, or refuses it if its origin isn't known. `source` is for the log.
--- a/src/libcaraway/router/request_streams.cpp
+++ b/src/libcaraway/router/request_streams.cpp
@@ -15,6 +15,7 @@
 constexpr std::chrono::seconds arrival_slack{2};
 /// Longest time for which a stream's origin is kept; protects arithmetic on times.
 constexpr std::chrono::hours max_stream_time{1};
+
 }  // namespace
 
 bool request_session::resumes_stream() const
@@ -29,42 +30,32 @@
         find_sole_origin();
         return;
     }
-    core_.find_origin(*metadata_.resumed_attempt,
-                      [weak = weak_from_this()](const auto& origin)
-                      {
-                          const auto self = weak.lock();
-                          if (!self || self->ended_)
-                          {
-                              return;
-                          }
-                          if (origin)
-                          {
-                              self->on_stream_origin(origin, "told");
-                              return;
-                          }
-                          self->find_sole_origin();
-                      });
+    const auto on_answer = [this](const auto& origin)
+    {
+        if (origin)
+        {
+            on_stream_origin(origin, "told");
+            return;
+        }
+        find_sole_origin();
+    };
+    core_.find_origin(*metadata_.resumed_attempt, unless_ended(on_answer));
 }
 
 void request_session::find_sole_origin()
 {
+    const auto on_answer = [this](bool is_confirmed)
+    {
+        const auto origin = is_confirmed ? sole_origin() : std::nullopt;
+        if (origin)
+        {
+            on_stream_origin(origin, "only_version");
+            return;
+        }
+        find_stored_origin();
+    };
     core_.confirm_versions(routing::resumable_period(*route_, core_.options.leaving_notice),
-                           [weak = weak_from_this()](bool is_confirmed)
-                           {
-                               const auto self = weak.lock();
-                               if (!self || self->ended_)
-                               {
-                                   return;
-                               }
-                               const auto origin =
-                                   is_confirmed ? self->sole_origin() : std::nullopt;
-                               if (origin)
-                               {
-                                   self->on_stream_origin(origin, "only_version");
-                                   return;
-                               }
-                               self->find_stored_origin();
-                           });
+                           unless_ended(on_answer));
 }
 
 void request_session::find_stored_origin()
@@ -75,14 +66,8 @@
         return;
     }
     core_.find_stored_origin(*metadata_.resumed_attempt,
-                             [weak = weak_from_this()](const auto& origin)
-                             {
-                                 const auto self = weak.lock();
-                                 if (self && !self->ended_)
-                                 {
-                                     self->on_stream_origin(origin, origin ? "stored" : "");
-                                 }
-                             });
+                             unless_ended([this](const auto& origin)
+                                          { on_stream_origin(origin, origin ? "stored" : ""); }));
 }
 
 void request_session::on_stream_origin(const std::optional<routing::stream_origin>& origin,
--- a/src/libcaraway/router/version_sync.cpp
+++ b/src/libcaraway/router/version_sync.cpp
@@ -135,20 +135,20 @@
 
 void version_sync::on_record(const rows_answer& answer, const std::function<void()>& done)
 {
-    if (answer.rows.empty() && core_.options.first_start)
+    last_record_.reset();
+    if (answer.rows.empty())
     {
-        core_.served_versions.record_first_start(core_.now());
+        if (core_.options.first_start)
+        {
+            core_.served_versions.record_first_start(core_.now());
+        }
+        done();
+        return;
     }
-    const auto record = answer.rows.empty()
-                            ? base::make_error(base::errc::not_found, "No record is stored.")
-                            : routing::decode_version_record(answer.rows.front().value);
+    const auto record = routing::decode_version_record(answer.rows.front().value);
     if (!record)
     {
-        last_record_.reset();
-        if (!answer.rows.empty())
-        {
-            core_.log.line("version_record_unreadable", {{"because", record.error().message}});
-        }
+        core_.log.line("version_record_unreadable", {{"because", record.error().message}});
         done();
         return;
     }
