--- a/tests/routers_all_killed/test_routers_all_killed.cpp
+++ b/tests/routers_all_killed/test_routers_all_killed.cpp
@@ -20,12 +20,23 @@
         becomes_true([&] { return clock.now() >= end; });
     }
 
-    /// All routers end at the same moment, without a word to anybody, and start again.
-    void kill_all_and_restart()
+    /// The first start of three routers at one version, until the store has what served.
+    void start_with_record()
+    {
+        bootstrap = true;
+        start_routers(3, {&old_1, &old_2});
+        BOOST_REQUIRE(becomes_true([&] { return store.has_row("caraway_versions", "served"); }));
+        bootstrap = false;
+    }
+
+    /// All routers end at the same moment, without a word to anybody, and start again; `meanwhile`
+    /// is what happens between.
+    void kill_all_and_restart(const std::function<void()>& meanwhile = [] {})
     {
         const auto count = static_cast<int>(routers.size());
         routers.clear();
         seeds.clear();
+        meanwhile();
         for (int number = 1; number <= count; ++number)
         {
             start_router("r" + std::to_string(number));
@@ -82,10 +93,7 @@
 
 BOOST_AUTO_TEST_CASE(a_stream_that_nobody_wrote_down_goes_on_at_the_only_version_on_record)
 {
-    bootstrap = true;
-    start_routers(3, {&old_1, &old_2});
-    BOOST_REQUIRE(becomes_true([&] { return store.has_row("caraway_versions", "served"); }));
-    bootstrap = false;
+    start_with_record();
     kill_all_and_restart();
 
     BOOST_TEST((versions_after_resume(resume(2, "id-2", "nobody-knows")) == versions{"v1"}));
@@ -94,19 +102,9 @@
 // The version that began the stream joined and left unseen by the routers that are asked.
 BOOST_AUTO_TEST_CASE(a_stream_of_a_version_that_left_while_all_were_down_is_refused)
 {
-    bootstrap = true;
-    start_routers(3, {&old_1, &old_2});
-    BOOST_REQUIRE(becomes_true([&] { return store.has_row("caraway_versions", "served"); }));
-    bootstrap = false;
+    start_with_record();
     add_upstream(new_1, "engines");
-    routers.clear();
-    store.remove("servers", new_1.instance);
-    seeds.clear();
-    for (const auto* name : {"r1", "r2", "r3"})
-    {
-        start_router(name);
-        seeds = {routers.front()->options().control};
-    }
+    kill_all_and_restart([&] { store.remove("servers", new_1.instance); });
 
     BOOST_TEST(receives_status(resume(2, "id-2", "nobody-knows"), "503"));
     BOOST_TEST(run_count("id-2") == 0);
--- a/tests/routers_out_of_step/test_routers_out_of_step.cpp
+++ b/tests/routers_out_of_step/test_routers_out_of_step.cpp
@@ -32,11 +32,30 @@
         BOOST_REQUIRE(becomes_true([&] { return receives_status(resume_unknown(router), "200"); }));
     }
 
-    /// A router that follows a view of the store of its own, which can fall silent.
-    void start_cut_off_router(const std::string& name)
+    void start_router_of_one_version()
     {
+        start_routers(1, {&old_1, &old_2});
+        accept_configuration(2, {short_route});
+        await_only_version(0);
+    }
+
+    /// The same, at a view of the store of its own, which can fall silent.
+    void start_cut_off_router()
+    {
+        accept_configuration(1, {short_route});
+        add_upstream(old_1, "engines");
+        add_upstream(old_2, "engines");
         cut_off_store.copy_from(store);
-        start_router_at(cut_off_store, name, true);
+        start_router_at(cut_off_store, "r1", true);
+        await_engines(2);
+        await_only_version(0);
+    }
+
+    /// The router's next call to the store is some time away then.
+    void let_router_have_an_answer()
+    {
+        add_upstream(old_2, "engines");
+        settle();
     }
 
     /// Whether the stream goes on. A router whose machine is busy may refuse it for a moment, but
@@ -66,12 +85,8 @@
 // The version joined after the router's last call to the store, and a stream began on it elsewhere.
 BOOST_AUTO_TEST_CASE(a_stream_of_a_version_that_has_just_joined_does_not_go_on_at_another)
 {
-    start_routers(1, {&old_1, &old_2});
-    accept_configuration(2, {short_route});
-    await_only_version(0);
-    // The router has just had an answer, so its next call is some time away.
-    add_upstream(old_2, "engines");
-    settle();
+    start_router_of_one_version();
+    let_router_have_an_answer();
     add_upstream(new_1, "engines");
 
     BOOST_TEST(is_refused_unrun(resume_unknown(0)));
@@ -79,12 +94,7 @@
 
 BOOST_AUTO_TEST_CASE(a_router_cut_off_as_a_version_joins_refuses_streams_that_nobody_else_knows)
 {
-    accept_configuration(1, {short_route});
-    add_upstream(old_1, "engines");
-    add_upstream(old_2, "engines");
-    start_cut_off_router("r1");
-    await_engines(2);
-    await_only_version(0);
+    start_cut_off_router();
     cut_off_store.unresponsive = true;
     add_upstream(new_1, "engines");
 
@@ -94,12 +104,7 @@
 BOOST_AUTO_TEST_CASE(
     a_router_that_is_turned_away_by_the_store_refuses_streams_that_nobody_else_knows)
 {
-    accept_configuration(1, {short_route});
-    add_upstream(old_1, "engines");
-    add_upstream(old_2, "engines");
-    start_cut_off_router("r1");
-    await_engines(2);
-    await_only_version(0);
+    start_cut_off_router();
     cut_off_store.unavailable = true;
     add_upstream(new_1, "engines");
 
@@ -109,15 +114,9 @@
 // A version that came and went between two answers leaves an entry's removal only.
 BOOST_AUTO_TEST_CASE(a_version_that_came_and_went_between_two_answers_may_have_begun_a_stream)
 {
-    accept_configuration(1, {short_route});
-    add_upstream(old_1, "engines");
-    add_upstream(old_2, "engines");
     store.merges_changes = true;
-    start_routers(1, {&old_1, &old_2});
-    accept_configuration(2, {short_route});
-    await_only_version(0);
-    add_upstream(old_2, "engines");
-    settle();
+    start_router_of_one_version();
+    let_router_have_an_answer();
     add_upstream(new_1, "engines");
     store.remove("servers", new_1.instance);
 
@@ -129,12 +128,7 @@
 {
     // The answer must come within the route's timeout beside other tests too.
     short_route.timeout_ms = 1000;
-    accept_configuration(1, {short_route});
-    add_upstream(old_1, "engines");
-    add_upstream(old_2, "engines");
-    start_routers(1, {&old_1, &old_2});
-    accept_configuration(2, {short_route});
-    await_only_version(0);
+    start_router_of_one_version();
     store.unavailable = true;
     BOOST_REQUIRE(becomes_true([&] { return logged({"store_lost", "upstreams"}); }));
     BOOST_TEST(is_refused_unrun(resume_unknown(0)));
--- a/tests/stream_ends/test_stream_ends.cpp
+++ b/tests/stream_ends/test_stream_ends.cpp
@@ -23,6 +23,24 @@
         return head;
     }
 
+    /// A whole stream of one event, whose head may have been changed.
+    static void send_whole_stream(const run& current, http::response_head head,
+                                  const std::string& event)
+    {
+        head.set(http::field::content_type, "text/event-stream");
+        current.exchange->begin(std::move(head));
+        current.exchange->write(event);
+        current.exchange->finish();
+    }
+
+    static void send_encoded_stream(const run& current, int id)
+    {
+        auto head = sealed_head(current, 200);
+        head.set(http::field::content_encoding, "gzip");
+        send_whole_stream(current, std::move(head),
+                          "id: " + std::to_string(id) + "\ndata: encoded\n\n");
+    }
+
     /// Begins a stream that breaks off after its first event, and lets the engine that the router
     /// goes on at answer as told.
     caller_connection break_off_and(const answer_to_resume& answer)
@@ -95,16 +113,8 @@
 BOOST_AUTO_TEST_CASE(events_of_an_encoded_answer_do_not_reach_a_caller)
 {
     start_routers(1, {&old_1});
-    old_1.next_behaviours.assign(1,
-                                 [](stand_in_runner&, const run& current)
-                                 {
-                                     auto head = sealed_head(current, 200);
-                                     head.set(http::field::content_type, "text/event-stream");
-                                     head.set(http::field::content_encoding, "gzip");
-                                     current.exchange->begin(std::move(head));
-                                     current.exchange->write("id: 1\ndata: encoded\n\n");
-                                     current.exchange->finish();
-                                 });
+    old_1.next_behaviours.assign(1, [](stand_in_runner&, const run& current)
+                                 { send_encoded_stream(current, 1); });
     const auto caller = send_stream(0, "id-1");
     BOOST_REQUIRE(becomes_true([&] { return !caller->received.empty() || caller->ended; }));
     settle();
@@ -114,16 +124,7 @@
 
 BOOST_AUTO_TEST_CASE(an_encoded_answer_does_not_go_on_with_a_stream)
 {
-    const auto caller = break_off_and(
-        [](const run& current)
-        {
-            auto head = sealed_head(current, 200);
-            head.set(http::field::content_type, "text/event-stream");
-            head.set(http::field::content_encoding, "gzip");
-            current.exchange->begin(std::move(head));
-            current.exchange->write("id: 2\ndata: encoded\n\n");
-            current.exchange->finish();
-        });
+    const auto caller = break_off_and([](const run& current) { send_encoded_stream(current, 2); });
 
     BOOST_TEST(!is_complete(caller));
     BOOST_TEST(caller->received.find("data: encoded") == std::string::npos);
@@ -147,10 +148,8 @@
                                  {
                                      auto head = sealed_head(current, 200);
                                      head.erase("X-Request-Id");
-                                     head.set(http::field::content_type, "text/event-stream");
-                                     current.exchange->begin(std::move(head));
-                                     current.exchange->write("id: 1\ndata: of another\n\n");
-                                     current.exchange->finish();
+                                     send_whole_stream(current, std::move(head),
+                                                       "id: 1\ndata: of another\n\n");
                                  });
     const auto second = send_stream(0, "id-2");
     BOOST_REQUIRE(becomes_true([&] { return !second->received.empty() || second->ended; }));
