Routing: only as much of a path is looked up as prefixes are long

Callers saw no answer for over 10 s beside 100 clients, and after they had left: each slash of a path was looked up with all before it, so a path of 15,000 slashes cost 15,000 look-ups of up to 15 KB.

--- a/src/libcaraway/routing/route_table.cpp
+++ b/src/libcaraway/routing/route_table.cpp
@@ -25,6 +25,7 @@
     for (const auto& each : accepted_.routes)
     {
         routes_.emplace(normalised_host(each.host) + each.prefix, &each);
+        longest_prefix_ = std::max(longest_prefix_, each.prefix.size());
     }
     for (const auto& each : accepted_.workspaces)
     {
@@ -43,7 +44,8 @@
 {
     const auto path = target.substr(0, target.find_first_of("?#"));
     const auto name = normalised_host(host);
-    auto slash = path.rfind('/');
+    // A path may hold thousands of slashes.
+    auto slash = path.substr(0, longest_prefix_).rfind('/');
     while (slash != std::string_view::npos)
     {
         const auto found = routes_.find(name + std::string(path.substr(0, slash + 1)));
--- a/src/libcaraway/routing/route_table.hpp
+++ b/src/libcaraway/routing/route_table.hpp
@@ -35,6 +35,7 @@
 private:
     configuration accepted_;
     std::unordered_map<std::string, const route*> routes_;
+    std::size_t longest_prefix_ = 0;
     std::unordered_map<std::string, const workspace*> workspaces_;
     std::unordered_map<std::string, const service*> services_;
 };
