HTTP, Router: what is held for callers is counted and bounded in one place

A process ran out of memory for what clients send or leave unread; one client was enough. While anything found no room, idle connections are closed first, then callers that withhold a request, then those that don't read, at less than 32 KB/s over 2 s each. The kernel's receive buffers are set from the rest; - the directory, readiness and control ports kept bodies that nobody uses: they are dropped as they come; - parsing erased the front of its buffer at each chunk and took a connection's bytes in one turn: it goes on after 512 steps. Limits met are logged once a second (memory), with counters.

--- a/src/caraway_router/main.cpp
+++ b/src/caraway_router/main.cpp
@@ -6,6 +6,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <malloc.h>
 
 namespace
 {
@@ -30,6 +31,16 @@
     }
 };
 
+/// Large blocks, as of bodies, go back to the system as soon as they are freed. By default the
+/// allocator keeps more the larger they were.
+void set_up_allocator()
+{
+    constexpr int smallest_block_of_its_own = 131072;
+    constexpr int most_kept_free = 4194304;
+    ::mallopt(M_MMAP_THRESHOLD, smallest_block_of_its_own);
+    ::mallopt(M_TRIM_THRESHOLD, most_kept_free);
+}
+
 int run(const router::settings& settings, const router::settings_source& read_settings)
 {
     const boot_clock clock;
@@ -63,6 +74,7 @@
                    "Port that serves metrics; 0: only at the control address.");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
+    set_up_allocator();
 
     const auto path =
         settings_file.empty() ? platform::settings_path() : std::filesystem::path(settings_file);
--- a/src/libcaraway/http/buffered_call.cpp
+++ b/src/libcaraway/http/buffered_call.cpp
@@ -55,7 +55,7 @@
         });
     connection_->call(
         to, std::move(request), false,
-        {.head = [this](const response_head& head) { answer_.status = head.result_int(); },
+        {.head = [this](const answer_head& head) { answer_.status = head.result_int(); },
          .body =
              [this](std::string_view part)
          {
--- a/src/libcaraway/http/buffered_call.hpp
+++ b/src/libcaraway/http/buffered_call.hpp
@@ -3,6 +3,9 @@
 #include "libcaraway/base/error.hpp"
 #include "libcaraway/http/client_connection.hpp"
 
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
 namespace caraway::http
 {
 
--- a/src/libcaraway/http/client_connection.cpp
+++ b/src/libcaraway/http/client_connection.cpp
@@ -8,7 +8,10 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
+#include <array>
 #include <charconv>
+#include <limits>
 #include <utility>
 
 namespace caraway::http
@@ -24,12 +27,14 @@
 /// Bytes that the parser may leave for later: the head of a chunk with what was read behind it.
 constexpr std::size_t max_unparsed_bytes = 65536;
 
+/// How often it is asked whether an answer may be read on.
+constexpr std::chrono::milliseconds may_read_period{50};
+
 /// Returns the value of the "timeout=N" parameter of the Keep-Alive field; empty if it is missing
 /// or malformed.
-std::optional<std::chrono::seconds> parse_keep_alive_timeout(const response_head& head)
+std::optional<std::chrono::seconds> parse_keep_alive_timeout(const answer_head& head)
 {
-    const auto value = head[field::keep_alive];
-    const std::string_view text(value.data(), value.size());
+    const auto text = head[field::keep_alive];
     constexpr std::string_view name = "timeout=";
     const auto at = text.find(name);
     if (at == std::string_view::npos)
@@ -55,9 +60,11 @@
 }
 
 void client_connection::call(const routing::endpoint& to, std::string request, bool head_only,
-                             call_events events, answer_check belongs)
+                             call_events events, answer_check belongs,
+                             std::shared_ptr<const std::string> body)
 {
     request_ = std::move(request);
+    body_ = std::move(body);
     events_ = std::make_shared<call_events>(std::move(events));
     belongs_ = std::move(belongs);
     head_only_ = head_only;
@@ -147,13 +154,17 @@
 void client_connection::write()
 {
     write_started_ = true;
-    boost::asio::async_write(socket_, boost::asio::buffer(request_),
-                             [self = shared_from_this()](const auto& error, std::size_t)
-                             {
-                                 // A failed write makes the read fail too, after any answer that
-                                 // the server sent before it had received the whole request.
-                                 self->write_completed_ = !error;
-                             });
+    const std::array<boost::asio::const_buffer, 2> message{boost::asio::buffer(request_),
+                                                           body_ ? boost::asio::buffer(*body_)
+                                                                 : boost::asio::const_buffer()};
+    boost::asio::async_write(
+        socket_, message,
+        [self = shared_from_this(), body = body_](const auto& error, std::size_t)
+        {
+            // A failed write makes the read fail too, after any answer that
+            // the server sent before it had received the whole request.
+            self->write_completed_ = !error;
+        });
 }
 
 void client_connection::read()
@@ -163,7 +174,11 @@
         return;
     }
     read_pending_ = true;
-    const auto pause = std::exchange(pause_, {});
+    auto pause = std::exchange(pause_, {});
+    if (!may_read())
+    {
+        pause = std::max<base::duration>(pause, may_read_period);
+    }
     if (pause > base::duration::zero())
     {
         read_after(pause);
@@ -186,20 +201,34 @@
                   [self = shared_from_this()]
                   {
                       self->read_pending_ = false;
-                      if (!self->closed_)
+                      if (self->closed_)
+                      {
+                          return;
+                      }
+                      if (!self->may_read())
                       {
-                          self->on_readable({});
+                          self->read();
+                          return;
                       }
+                      self->on_readable({});
                   });
 }
 
+bool client_connection::may_read() const
+{
+    return !call_in_progress_ || !events_->may_read || events_->may_read();
+}
+
 void client_connection::on_readable(const boost::system::error_code& error)
 {
     boost::system::error_code failed = error;
     std::size_t bytes = 0;
     if (!failed)
     {
-        bytes = socket_.read_some(boost::asio::buffer(read_scratch()), failed);
+        // An answer that may have to wait for room is read in small parts.
+        const auto most =
+            call_in_progress_ && events_->may_read ? max_read_bytes : read_scratch_size;
+        bytes = socket_.read_some(boost::asio::buffer(read_scratch().data(), most), failed);
     }
     if (failed && failed != boost::asio::error::would_block)
     {
@@ -213,6 +242,8 @@
     }
     buffer_.append(read_scratch().data(), bytes);
     parse();
+    buffer_.erase(0, parsed_);
+    parsed_ = 0;
     if (call_in_progress_ && buffer_.size() > max_unparsed_bytes)
     {
         fail();
@@ -227,11 +258,11 @@
 
 void client_connection::parse()
 {
-    while (call_in_progress_ && buffer_.size() > 0)
+    while (call_in_progress_ && unparsed_bytes() > 0)
     {
         boost::system::error_code error;
-        const auto bytes_parsed = parser_->put(boost::asio::buffer(buffer_), error);
-        buffer_.erase(0, bytes_parsed);
+        const auto bytes_parsed = parser_->put(boost::asio::buffer(buffer_) + parsed_, error);
+        parsed_ += bytes_parsed;
         if (error && error != beast_http::error::need_more)
         {
             fail();
@@ -261,7 +292,8 @@
 {
     parser_.emplace();
     parser_->header_limit(max_head_bytes);
-    parser_->body_limit(boost::none);
+    // The parser takes no limit for a limit of none.
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     parser_->eager(true);
     parser_->skip(head_only_);
     head_seen_ = false;
@@ -271,7 +303,7 @@
 void client_connection::process_head()
 {
     head_seen_ = true;
-    const response_head& head = parser_->get().base();
+    const auto& head = parser_->head();
     const bool interim = head.result_int() < 200;
     skipping_ = interim || (belongs_ && !belongs_(head));
     const auto events = events_;
@@ -283,7 +315,7 @@
 
 void client_connection::deliver_body()
 {
-    auto& body = parser_->get().body();
+    auto& body = parser_->body();
     if (body.empty())
     {
         return;
@@ -304,7 +336,7 @@
         start_parser();
         return;
     }
-    const response_head& head = parser_->get().base();
+    const auto& head = parser_->head();
     const bool reusable = parser_->keep_alive() && !parser_->need_eof() && write_completed_;
     const auto seconds = parse_keep_alive_timeout(head);
     call_in_progress_ = false;
@@ -312,12 +344,13 @@
     if (write_completed_)
     {
         std::string().swap(request_);
+        body_.reset();
     }
     idle_since_ = timers_.now();
     keep_alive_until_ = seconds ? std::optional(idle_since_ + *seconds) : std::nullopt;
     const auto events = std::move(events_);
     // Bytes after a complete answer belong to no call.
-    if (!reusable || buffer_.size() > 0)
+    if (!reusable || unparsed_bytes() > 0)
     {
         close();
     }
@@ -325,6 +358,11 @@
     {
         events->end();
     }
+    if (!call_in_progress_)
+    {
+        // Frees the answer's head.
+        parser_.reset();
+    }
 }
 
 void client_connection::on_end_of_stream(const boost::system::error_code& error)
--- a/src/libcaraway/http/client_connection.hpp
+++ b/src/libcaraway/http/client_connection.hpp
@@ -1,12 +1,11 @@
 #pragma once
 
+#include "libcaraway/http/answer_parser.hpp"
 #include "libcaraway/http/message.hpp"
 #include "libcaraway/http/timer_queue.hpp"
 #include "libcaraway/routing/upstream_directory.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <memory>
 #include <optional>
@@ -27,18 +26,20 @@
 /// Callbacks of a call. `opened` is called when a connection was opened for the call, and returns
 /// whether to send the request on it. `head` is called once, then `body` any number of times, then
 /// `end`. `failed` may be called at any point instead. No callback follows `end` or `failed`. Any
-/// of them may be null, and any may close the connection.
+/// of them may be null, and any may close the connection. `may_read` is asked before each read of
+/// an answer; while it returns false nothing is read, so that the server is slowed down.
 struct call_events
 {
     std::function<bool()> opened;
-    std::function<void(const response_head&)> head;
+    std::function<void(const answer_head&)> head;
     std::function<void(std::string_view)> body;
     std::function<void()> end;
     std::function<void(call_failure)> failed;
+    std::function<bool()> may_read;
 };
 
 /// Returns whether an answer belongs to the call in progress.
-using answer_check = std::function<bool(const response_head&)>;
+using answer_check = std::function<bool(const answer_head&)>;
 
 struct connect_options
 {
@@ -59,11 +60,11 @@
     client_connection(boost::asio::io_context& loop, timer_queue& timers,
                       connect_options options = {});
 
-    /// Sends `request`, a complete serialized message, and connects to `to` first if the connection
-    /// isn't open. `head_only` is set for HEAD requests, whose answers have no body. A null
-    /// `belongs` accepts any answer. Only while no call is in progress.
+    /// Sends `request`, a complete serialized message but for `body`, and connects to `to` first if
+    /// the connection isn't open. `head_only` is set for HEAD requests, whose answers have no body.
+    /// A null `belongs` accepts any answer. Only while no call is in progress.
     void call(const routing::endpoint& to, std::string request, bool head_only, call_events events,
-              answer_check belongs = nullptr);
+              answer_check belongs = nullptr, std::shared_ptr<const std::string> body = nullptr);
     /// Closes the connection and cancels the call in progress, if any, without calling its events.
     void close();
     /// Reads no more bytes of the answer for this time, so that those that arrive meanwhile are
@@ -94,13 +95,18 @@
 
 private:
     using tcp = boost::asio::ip::tcp;
-    using parser_type = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     void connect(const routing::endpoint& to);
     void set_socket_options();
     void write();
     void read();
     void read_after(base::duration pause);
+    bool may_read() const;
+    /// Received bytes that haven't been parsed.
+    std::size_t unparsed_bytes() const
+    {
+        return buffer_.size() - parsed_;
+    }
     void on_readable(const boost::system::error_code& error);
     void parse();
     void start_parser();
@@ -115,10 +121,12 @@
     timer_queue& timers_;
     connect_options options_;
     timer_queue::handle connect_deadline_;
-    /// Received bytes that have not been parsed.
+    /// Received bytes; those from `parsed_` on have not been parsed.
     std::string buffer_;
-    std::optional<parser_type> parser_;
+    std::size_t parsed_ = 0;
+    std::optional<answer_parser> parser_;
     std::string request_;
+    std::shared_ptr<const std::string> body_;
     /// Shared, as a callback may end the call whose events these are.
     std::shared_ptr<call_events> events_;
     answer_check belongs_;
--- a/src/libcaraway/http/exchange.cpp
+++ b/src/libcaraway/http/exchange.cpp
@@ -30,13 +30,23 @@
 }  // namespace
 
 exchange::exchange(std::shared_ptr<server_connection> connection, request_head head,
-                   std::string body, base::time_point arrived)
+                   std::shared_ptr<const std::string> body, base::time_point arrived)
     : connection_(std::move(connection)), head_(std::move(head)), body_(std::move(body)),
       arrived_(arrived)
 {
 }
 
 void exchange::respond(response_head head, std::string_view body)
+{
+    if (!ended_ && !connection_->has_room_for_answer(body.size()))
+    {
+        head = make_response(status::service_unavailable);
+        body = {};
+    }
+    respond(std::move(head), std::string(body), {});
+}
+
+void exchange::respond(response_head head, std::string&& body, memory_hold held)
 {
     if (ended_)
     {
@@ -45,14 +55,26 @@
     mark_ended();
     head.erase(field::transfer_encoding);
     head.set(field::content_length, std::to_string(body.size()));
+    connection_->answer_hold_.absorb(held);
     connection_->send_head(head);
     if (head_.method() != verb::head)
     {
-        connection_->send(body);
+        connection_->send(std::move(body));
     }
     connection_->on_answer_ended(true);
 }
 
+bool exchange::has_room() const
+{
+    return connection_->has_room_for_output();
+}
+
+void exchange::set_owner_memory(std::size_t bytes)
+{
+    owner_memory_ = bytes;
+    connection_->recount();
+}
+
 void exchange::begin(response_head head)
 {
     if (ended_)
@@ -79,7 +101,7 @@
     }
     if (chunked_)
     {
-        connection_->send(chunk_begin(chunk.size()));
+        connection_->send(std::string_view(chunk_begin(chunk.size())));
         connection_->send(chunk);
         connection_->send(end_of_line);
     }
--- a/src/libcaraway/http/listener.cpp
+++ b/src/libcaraway/http/listener.cpp
@@ -76,6 +76,13 @@
     boost::system::error_code error;
     acceptor_.open(address_.protocol(), error);
     acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    if (receive_buffer_ > 0)
+    {
+        // Accepted connections inherit it.
+        acceptor_.set_option(
+            boost::asio::socket_base::receive_buffer_size(static_cast<int>(receive_buffer_)),
+            error);
+    }
     acceptor_.bind(address_, error);
     if (!error)
     {
@@ -211,7 +218,7 @@
         return;
     }
     auto& scratch = read_scratch();
-    const auto size = ::recv(handle, scratch.data(), scratch.size(), 0);
+    const auto size = ::recv(handle, scratch.data(), max_read_bytes, 0);
     if (size == 0 || (size < 0 && !is_temporary(errno)))
     {
         ::close(handle);
@@ -288,7 +295,7 @@
     }
 }
 
-void listener::close_oldest_idle()
+std::size_t listener::close_oldest_idle()
 {
     std::size_t closed = 0;
     for (const auto& entry : connections_)
@@ -300,6 +307,25 @@
             break;
         }
     }
+    return closed;
+}
+
+void listener::relieve(memory_budget& memory)
+{
+    erase_expired();
+    const bool is_nearly_full = memory.is_nearly_full();
+    if (is_nearly_full)
+    {
+        memory.counts.closed_idle += close_oldest_idle();
+    }
+    const auto connections = connections_;
+    for (const auto& entry : connections)
+    {
+        if (const auto connection = entry.lock())
+        {
+            connection->close_if_slow(is_nearly_full);
+        }
+    }
 }
 
 void listener::erase_expired()
--- a/src/libcaraway/http/listener.hpp
+++ b/src/libcaraway/http/listener.hpp
@@ -32,6 +32,15 @@
     /// The port in use, also if `open` was called with port 0.
     std::uint16_t port() const;
 
+    /// Sets what the kernel may hold of a connection that isn't read, in bytes. Before `open`.
+    void set_receive_buffer(std::size_t bytes)
+    {
+        receive_buffer_ = bytes;
+    }
+    /// Closes connections whose callers hold memory and don't go on; first, if little is left,
+    /// idle ones. To be called regularly while memory is scarce.
+    void relieve(memory_budget& memory);
+
     /// Sets a predicate called after each accepted connection. If it returns false, the listener
     /// refuses connections until `resume`.
     void set_admission(std::function<bool()> admits_more);
@@ -84,12 +93,15 @@
     void add_connection(int handle, std::string_view first_bytes = {},
                         const std::optional<std::string>& refusal = std::nullopt);
     void erase_expired();
-    void close_oldest_idle();
+    /// Returns how many were closed.
+    std::size_t close_oldest_idle();
 
     timer_queue& timers_;
     server_connection::limits_source limits_;
     server_connection::handler on_request_;
     std::size_t max_connections_;
+    /// 0: the system's.
+    std::size_t receive_buffer_ = 0;
     std::function<bool()> admits_more_;
     door door_;
     std::uint64_t refusals_ = 0;
--- a/src/libcaraway/http/message.hpp
+++ b/src/libcaraway/http/message.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "libcaraway/http/answer_head.hpp"
+#include "libcaraway/http/request_head.hpp"
+
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 
@@ -10,7 +13,7 @@
 namespace caraway::http
 {
 
-using request_head = boost::beast::http::request_header<>;
+/// Head of an answer that is to be sent.
 using response_head = boost::beast::http::response_header<>;
 using field = boost::beast::http::field;
 using status = boost::beast::http::status;
@@ -22,6 +25,11 @@
     return {text.data(), text.size()};
 }
 
+inline std::string_view view(std::string_view text)
+{
+    return text;
+}
+
 /// Makes an HTTP/1.1 response head without fields.
 inline response_head make_response(status code)
 {
@@ -32,7 +40,7 @@
 }
 
 /// Whether only the end of the connection shows where the answer's body ends.
-inline bool ends_with_connection(const response_head& head)
+inline bool ends_with_connection(const answer_head& head)
 {
     const bool has_body =
         head.result() != status::no_content && head.result() != status::not_modified;
--- a/src/libcaraway/http/request_checks.cpp
+++ b/src/libcaraway/http/request_checks.cpp
@@ -14,18 +14,17 @@
 
 namespace beast_http = boost::beast::http;
 
-std::size_t count_fields(const request_head& head, field name)
+bool is_chunked(std::string_view encoding)
 {
-    const auto [first, last] = head.equal_range(name);
-    return static_cast<std::size_t>(std::distance(first, last));
+    return boost::beast::iequals({encoding.data(), encoding.size()}, "chunked");
 }
 
 }  // namespace
 
 bool has_unambiguous_framing(const request_head& head)
 {
-    const auto encodings = count_fields(head, field::transfer_encoding);
-    const auto length_fields = count_fields(head, field::content_length);
+    const auto encodings = head.count(field::transfer_encoding);
+    const auto length_fields = head.count(field::content_length);
     if (length_fields > 1 || encodings > 1 || (length_fields > 0 && encodings > 0))
     {
         return false;
@@ -37,15 +36,14 @@
     }
     if (encodings == 1)
     {
-        return head.version() >= 11 &&
-               boost::beast::iequals(head[field::transfer_encoding], "chunked");
+        return head.version() >= 11 && is_chunked(head[field::transfer_encoding]);
     }
     return true;
 }
 
 bool has_one_host(const request_head& head)
 {
-    const auto hosts = count_fields(head, field::host);
+    const auto hosts = head.count(field::host);
     return hosts == 1 || (hosts == 0 && head.version() < 11);
 }
 
--- a/src/libcaraway/http/server_connection.hpp
+++ b/src/libcaraway/http/server_connection.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "libcaraway/http/door.hpp"
+#include "libcaraway/http/memory_budget.hpp"
 #include "libcaraway/http/message.hpp"
+#include "libcaraway/http/output_queue.hpp"
+#include "libcaraway/http/request_parser.hpp"
 #include "libcaraway/http/timer_queue.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-
 #include <memory>
 #include <optional>
 #include <string>
@@ -30,6 +30,10 @@
     std::chrono::seconds keep_alive{15};
     /// Whether connections are closed after the current answer, with `Connection: close` in it.
     bool closing = false;
+    /// Whether the bodies of requests are kept; else they are read and dropped.
+    bool keeps_body = true;
+    /// Counts what connections hold; null: it isn't counted. The same for all requests.
+    memory_budget* memory = nullptr;
 };
 
 /// A request and the answer to it. An answer started with `begin` is completed only by `finish`;
@@ -37,14 +41,18 @@
 class exchange
 {
 public:
-    exchange(std::shared_ptr<server_connection> connection, request_head head, std::string body,
-             base::time_point arrived);
+    exchange(std::shared_ptr<server_connection> connection, request_head head,
+             std::shared_ptr<const std::string> body, base::time_point arrived);
 
     const request_head& head() const
     {
         return head_;
     }
     const std::string& body() const
+    {
+        return *body_;
+    }
+    std::shared_ptr<const std::string> shared_body() const
     {
         return body_;
     }
@@ -54,12 +62,19 @@
         return arrived_;
     }
 
-    /// Sends a complete answer with a Content-Length.
+    /// Sends a complete answer with a Content-Length; 503 instead if there is no room for a large
+    /// body. For answers of the process itself.
     void respond(response_head head, std::string_view body);
+    /// Sends a complete answer whose memory is counted already, by `held`.
+    void respond(response_head head, std::string&& body, memory_hold held);
     /// Starts an answer of unknown length: chunked, or for HTTP/1.0 callers ended by closing the
     /// connection.
     void begin(response_head head);
     void write(std::string_view chunk);
+    /// Whether the caller has read so much of the answer that more should be written.
+    bool has_room() const;
+    /// Counts bytes that the request's owner holds for it.
+    void set_owner_memory(std::size_t bytes);
     void finish();
     /// Closes the connection in a way that lets the caller detect the incomplete answer.
     void abort();
@@ -75,10 +90,15 @@
     friend class server_connection;
 
     void mark_ended();
+    std::size_t memory() const
+    {
+        return head_.memory() + body_->capacity() + owner_memory_;
+    }
 
     std::shared_ptr<server_connection> connection_;
     request_head head_;
-    std::string body_;
+    std::shared_ptr<const std::string> body_;
+    std::size_t owner_memory_ = 0;
     base::time_point arrived_;
     std::function<void()> disconnect_callback_;
     bool chunked_ = false;
@@ -118,32 +138,67 @@
     /// A process that exits before then truncates the answer.
     bool is_request_active() const
     {
-        return !closed_ && (current_ != nullptr || write_pending_ || !pending_output_.empty());
+        return !closed_ && (current_ != nullptr || !output_.empty());
     }
+    /// Closes the connection if its caller withholds the rest of a request, or doesn't read its
+    /// answer, or does so at less than a minimal rate. While memory is scarce; `of_any_size`: also
+    /// if it holds little.
+    void close_if_slow(bool of_any_size);
 
 private:
     friend class exchange;
-    using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void begin_request();
     void read();
+    /// Whether nothing is read for now though the caller may have sent more.
+    bool is_reading_paused() const;
     void on_readable(const boost::system::error_code& error);
     void parse();
+    /// Whether the next bytes may be parsed: no request is being answered, no answer owed.
+    bool may_parse() const;
     /// Asks the door about the first bytes of the connection. Returns whether they were refused.
     bool refuse_at_door();
     void parse_buffer();
+    /// Goes on with `parse` after the event loop has handled other connections.
+    void parse_later();
     void on_head();
+    void on_expected_body();
     void on_request_complete();
-    void reject(status code);
+
+    /// What the connection holds of requests, in bytes.
+    std::size_t request_memory() const;
+    /// Counts that; false if there is no room for it.
+    bool count_request();
+    /// Counts that though there may be no room, as it is held already.
+    void recount();
+    void wait_for_room();
+    void check_room();
+    void go_on_with_body();
+    void refuse_for_lack_of_room();
+
+    void reject(status code, std::string_view retry_after = {});
     void set_deadline(std::chrono::milliseconds delay);
     void on_deadline();
     void on_peer_closed();
 
     void send_head(response_head& head);
     void send(std::string_view bytes);
+    void send(std::string&& bytes);
+    /// Whether there is room for an answer of the process itself; counts a refusal if not.
+    bool has_room_for_answer(std::size_t bytes);
+    /// Whether more of the answer should be written.
+    bool has_room_for_output() const;
+    void before_sending();
     void flush();
+    void write_output();
+    void wait_until_writable();
     void on_answer_ended(bool keep);
-    void shut_down_sending();
+    /// The kernel has taken all bytes of answers.
+    void on_output_taken();
+    void finish_closing();
+    /// Closes the connection in a way that shows the caller that an answer is incomplete.
+    void give_up_caller();
+    void begin_period();
 
     socket_type socket_;
     timer_queue& timers_;
@@ -153,17 +208,33 @@
     std::shared_ptr<std::size_t> open_;
     /// Null once the door has been asked.
     const door* door_;
-    /// Received bytes that have not been parsed.
+    /// Received bytes; those from `parsed_` on have not been parsed.
     std::string buffer_;
-    std::optional<parser_type> parser_;
-    std::optional<request_head> head_;
+    std::size_t parsed_ = 0;
+    std::optional<request_parser> parser_;
     std::shared_ptr<exchange> current_;
-    std::string pending_output_;
-    std::string write_buffer_;
+    output_queue output_;
+    memory_hold request_hold_;
+    memory_hold answer_hold_;
+    /// Length of the body that room was found for.
+    std::size_t expected_body_ = 0;
     timer_queue::handle deadline_;
     base::time_point first_byte_time_{};
+    base::time_point room_deadline_{};
+    /// When the kernel last took bytes of an answer.
+    base::time_point last_taken_{};
+    /// Bytes read and taken since then, while the connection had to go on.
+    base::time_point period_begin_{};
+    std::size_t moved_ = 0;
     bool read_pending_ = false;
     bool write_pending_ = false;
+    bool write_failed_ = false;
+    bool parsing_ = false;
+    bool parse_scheduled_ = false;
+    bool head_seen_ = false;
+    bool waits_for_room_ = false;
+    /// The next request begins when the answer has been taken.
+    bool answer_owed_ = false;
     bool keep_alive_ = true;
     bool answered_ = false;
     bool closing_ = false;
--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -1,5 +1,6 @@
 #include "libcaraway/router/core.hpp"
 
+#include "libcaraway/router/connection_limits.hpp"
 #include "libcaraway/router/request_session.hpp"
 
 namespace caraway::router
@@ -43,9 +44,10 @@
            telemetry::line_log& process_log)
     : loop(event_loop), clock(process_clock), options(std::move(process_options)),
       protocol(std::move(protocol_of_callers)), log(process_log), timers(loop, clock),
-      pool(loop, timers), slow_start(options.name), retries(options.retries),
-      placer({.zone = options.zone}), health_options(health_settings()), health(health_options),
-      random_(std::random_device{}())
+      pool(loop, timers),
+      memory(http::divide_memory(options.memory, limits_of_connections(options).total())),
+      slow_start(options.name), retries(options.retries), placer({.zone = options.zone}),
+      health_options(health_settings()), health(health_options), random_(std::random_device{}())
 {
     shares.set_window(options.share_window);
 }
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libcaraway/http/memory_budget.hpp"
 #include "libcaraway/http/owner_token.hpp"
 #include "libcaraway/http/server_connection.hpp"
 #include "libcaraway/http/upstream_pool.hpp"
@@ -188,6 +189,8 @@
     telemetry::line_log& log;
     http::timer_queue timers;
     http::upstream_pool pool;
+    /// What is held for callers, at all addresses.
+    http::memory_budget memory;
     metrics::registry metrics;
     router::request_metrics request_metrics{metrics};
     routing::upstream_directory directory;
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -1,5 +1,6 @@
 #include "libcaraway/router/daemon.hpp"
 
+#include "libcaraway/router/connection_limits.hpp"
 #include "libcaraway/router/settings_change.hpp"
 
 #include <csignal>
@@ -29,8 +30,6 @@
 constexpr milliseconds accept_while_stopping{3000};
 /// Time before SIGKILL in which the last answers are sent.
 constexpr milliseconds shutdown_margin{500};
-/// File descriptors that callers may not use: the process's own, and connections to upstreams.
-constexpr std::size_t reserved_descriptors = 700;
 
 /// How long callers may keep an idle connection, depending on the part of the connections that is
 /// in use (0 to 1). Rejected callers retry on a new connection each time: under many rejections
@@ -144,15 +143,12 @@
 
 void daemon::open_listeners()
 {
-    const auto max_descriptors = core_.options.max_descriptors;
-    const auto internal_connections = max_descriptors / 16;
-    const auto caller_connections =
-        max_descriptors -
-        std::min(max_descriptors / 2, reserved_descriptors + 3 * internal_connections);
+    const auto most = limits_of_connections(core_.options);
     const auto caller_limits = [this]
     {
         http::server_limits result{.keep_alive = keep_alive_at(callers_->used_fraction()),
-                                   .closing = is_stopping()};
+                                   .closing = is_stopping(),
+                                   .memory = &core_.memory};
         if (const auto table = core_.table())
         {
             const auto& configured = table->accepted().limits;
@@ -163,28 +159,27 @@
         }
         return result;
     };
-    const auto internal_limits = []
+    const auto internal_limits = [this]
     {
-        return http::server_limits{};
+        return http::server_limits{.keeps_body = false, .memory = &core_.memory};
     };
     const auto make_listener = [&](auto limits_of, auto handler, std::size_t connections)
     {
-        return std::make_unique<http::listener>(core_.loop, core_.timers, limits_of, handler,
-                                                connections);
+        auto opened = std::make_unique<http::listener>(core_.loop, core_.timers, limits_of, handler,
+                                                       connections);
+        opened->set_receive_buffer(core_.memory.limits().receive_buffer);
+        return opened;
     };
     callers_ = make_listener(
-        caller_limits, [this](const auto& request) { core_.handle(request); }, caller_connections);
+        caller_limits, [this](const auto& request) { core_.handle(request); }, most.of_callers);
     callers_->set_admission([this] { return door_.admits_more(); });
     callers_->set_door(door_.hooks());
     readiness_ = make_listener(
-        internal_limits, [this](const auto& request) { answer_readiness(request); },
-        internal_connections);
+        internal_limits, [this](const auto& request) { answer_readiness(request); }, most.internal);
     directory_ = make_listener(
-        internal_limits, [this](const auto& request) { answer_directory(request); },
-        internal_connections);
+        internal_limits, [this](const auto& request) { answer_directory(request); }, most.internal);
     control_ = make_listener(
-        internal_limits, [this](const auto& request) { answer_control(request); },
-        internal_connections);
+        internal_limits, [this](const auto& request) { answer_control(request); }, most.internal);
     metrics_ = make_listener(
         internal_limits, [this](const auto& request) { answer_metrics(request); }, 8);
 }
@@ -220,6 +215,7 @@
     link_.receive_pending();
     check_tick_delay(now);
     resume_listening();
+    relieve_memory();
     core_.shares.record_occupancy(core_.engine_usage().occupancy());
     core_.load_tracker.expire_peers(now, peers_.digest_period() * max_lost_digests);
     if (now >= next_report_)
@@ -292,6 +288,18 @@
     }
 }
 
+void daemon::relieve_memory()
+{
+    if (!core_.memory.take_shortage())
+    {
+        return;
+    }
+    for (auto* listener : {&callers_, &readiness_, &directory_, &control_, &metrics_})
+    {
+        (*listener)->relieve(core_.memory);
+    }
+}
+
 void daemon::resume_listening()
 {
     for (auto* listener : {&callers_, &readiness_, &directory_, &control_, &metrics_})
--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -75,6 +75,11 @@
     void log_work(const work_counters& before, const work_counters& after) const;
     /// Accepts new connections again on listeners that refused them since the last tick.
     void resume_listening();
+    /// Closes connections that hold memory and don't go on, if anything found no room since the
+    /// last tick.
+    void relieve_memory();
+    /// Logs the limits on memory that were met since the last call.
+    void log_memory();
     void request_missing_tables(base::time_point now);
     /// The control address of a peer to request tables from; empty if nothing is missing.
     std::optional<routing::endpoint> peer_to_ask(base::time_point now);
@@ -231,6 +236,7 @@
     base::time_point next_report_{};
     base::time_point next_prefill_records_{};
     work_counters last_work_;
+    http::memory_counts last_memory_counts_;
     std::chrono::milliseconds max_tick_delay_{};
     double request_rate_ = 0;
     bool own_row_written_ = false;
--- a/src/libcaraway/router/daemon_answers.cpp
+++ b/src/libcaraway/router/daemon_answers.cpp
@@ -193,6 +193,26 @@
     set_gauge("caraway_admitted_work",
               "Work of the requests admitted per second, in events relayed, smoothed.",
               door_.budget().work_rate());
+    const auto& memory = core_.memory;
+    set_gauge("caraway_memory_held_bytes", "Bytes held for callers, at all addresses.",
+              static_cast<double>(memory.held()));
+    set_gauge("caraway_memory_limit_bytes", "Bytes that may be held for callers.",
+              static_cast<double>(memory.limits().total));
+    set_gauge("caraway_memory_refused",
+              "Requests and own answers refused for lack of memory, in total.",
+              static_cast<double>(memory.counts.refused));
+    set_gauge("caraway_memory_waits",
+              "Times that a body or an answer was not read on for lack of memory, or as the caller "
+              "did not read, in total.",
+              static_cast<double>(memory.counts.waits));
+    set_gauge("caraway_memory_closed_withholding",
+              "Connections closed for lack of memory whose callers withheld a request, in total.",
+              static_cast<double>(memory.counts.closed_withholding));
+    set_gauge("caraway_memory_closed_unread",
+              "Connections closed whose callers did not read an answer, in total.",
+              static_cast<double>(memory.counts.closed_unread));
+    set_gauge("caraway_memory_closed_idle", "Idle connections closed for lack of memory, in total.",
+              static_cast<double>(memory.counts.closed_idle));
     set_gauge("caraway_crash_suspects", "1 while requests are suspected of crashing upstreams.",
               core_.crashes.has_suspects() ? 1 : 0);
     set_gauge("caraway_store_lost", "1 while the platform's store is unreachable.",
--- a/src/libcaraway/router/daemon_report.cpp
+++ b/src/libcaraway/router/daemon_report.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace caraway::router
 {
@@ -56,12 +57,36 @@
     {
         log_work(last_work_, work);
     }
+    log_memory();
     core_.shares.record_second(now);
     log_shares(now);
     last_work_ = work;
     max_tick_delay_ = {};
 }
 
+void daemon::log_memory()
+{
+    const auto& memory = core_.memory;
+    const auto before = std::exchange(last_memory_counts_, memory.counts);
+    const auto& now = memory.counts;
+    if (now == before)
+    {
+        return;
+    }
+    core_.log.line("memory",
+                   {{"held", memory.held()},
+                    {"limit", memory.limits().total},
+                    {"large_requests", memory.held_by_large(http::held_for::request)},
+                    {"large_requests_limit", memory.limits().large_requests},
+                    {"large_answers", memory.held_by_large(http::held_for::answer)},
+                    {"large_answers_limit", memory.limits().large_answers},
+                    {"refused", now.refused - before.refused},
+                    {"waits", now.waits - before.waits},
+                    {"closed_idle", now.closed_idle - before.closed_idle},
+                    {"closed_withholding", now.closed_withholding - before.closed_withholding},
+                    {"closed_unread", now.closed_unread - before.closed_unread}});
+}
+
 daemon::work_counters daemon::total_work() const
 {
     return {.requests = core_.requests_received,
--- a/src/libcaraway/router/ports.hpp
+++ b/src/libcaraway/router/ports.hpp
@@ -52,11 +52,11 @@
 {
     /// Error: the message that goes to the caller with status 400.
     std::function<base::result<routing::request_metadata>(const http::request_head&)> parse_request;
-    /// Returns the complete HTTP message for an upstream.
-    std::function<std::string(const http::request_head&, const std::string& body,
+    /// Returns the HTTP message for an upstream, up to its body of this many bytes.
+    std::function<std::string(const http::request_head&, std::size_t body_bytes,
                               const forward_options&)>
         forward;
-    std::function<answer_metadata(const http::response_head&)> parse_answer;
+    std::function<answer_metadata(const http::answer_head&)> parse_answer;
     /// Whether the header field with this name is passed from an upstream's response to the caller.
     std::function<bool(std::string_view)> passes_to_caller;
     /// The header fields with a workspace's key, and with the milliseconds that the caller will
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -2,10 +2,12 @@
 // follows when an attempt ends.
 #include "libcaraway/router/request_session.hpp"
 
+#include "libcaraway/http/read_scratch.hpp"
 #include "libcaraway/http/server_connection.hpp"
 #include "libcaraway/routing/entry/relay_pace.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace caraway::router
 {
@@ -24,8 +26,17 @@
 /// Bytes of one event of a stream. What goes on without the end of an event is no stream.
 constexpr std::size_t max_event_bytes = 1U << 20U;
 
+/// Length of the answer's body as its head states it, as far as it would be kept; 0 if it doesn't.
+std::size_t stated_length(const http::answer_head& head)
+{
+    const auto text = view(head[http::field::content_length]);
+    std::size_t length = 0;
+    std::from_chars(text.data(), text.data() + text.size(), length);
+    return std::min(length, max_buffered_answer);
+}
+
 /// Callers ask for no encoding, so such a body isn't the upstream's.
-bool is_encoded(const http::response_head& head)
+bool is_encoded(const http::answer_head& head)
 {
     return head.find(http::field::content_encoding) != head.end();
 }
@@ -90,6 +101,7 @@
     tried_.push_back(id);
     ++attempts_sent_;
     attempt_ = std::make_shared<attempt>();
+    attempt_->held = http::memory_hold(&core_.memory, http::held_for::answer);
     last_placement_ = placement;
     last_sent_at_ = now;
     last_connect_time_ = {};
@@ -110,15 +122,17 @@
     {
         forwarding.fetch_from = source->address;
     }
-    auto message = core_.protocol.forward(request_->head(), request_->body(), forwarding);
-    attempt_->connection->call(attempt_->placement.target.address, std::move(message),
-                               request_->head().method() == http::verb::head,
-                               call_handlers(attempt_),
-                               [this](const http::response_head& head)
-                               {
-                                   const auto metadata = core_.protocol.parse_answer(head);
-                                   return !metadata.request || *metadata.request == metadata_.id;
-                               });
+    auto message = core_.protocol.forward(request_->head(), request_->body().size(), forwarding);
+    request_->set_owner_memory(message.capacity());
+    attempt_->connection->call(
+        attempt_->placement.target.address, std::move(message),
+        request_->head().method() == http::verb::head, call_handlers(attempt_),
+        [this](const http::answer_head& head)
+        {
+            const auto metadata = core_.protocol.parse_answer(head);
+            return !metadata.request || *metadata.request == metadata_.id;
+        },
+        request_->shared_body());
     attempt_->last_activity = now;
     start_silence_timer(*attempt_);
 }
@@ -127,14 +141,16 @@
 {
     const auto self = shared_from_this();
     return {.opened = [self, current] { return self->on_opened(*current); },
-            .head = [self, current](const http::response_head& head)
+            .head = [self, current](const http::answer_head& head)
             { self->on_head(*current, head); },
             .body = [self, current](std::string_view part) { self->on_body(*current, part); },
             .end = [self, current] { self->on_end(*current); },
-            .failed =
-                [self, current](http::call_failure failure)
+            .failed = [self, current](http::call_failure failure)
+            { self->on_failed(*current, failure); },
+            .may_read =
+                [self, current]
             {
-                self->on_failed(*current, failure);
+                return self->may_read(*current);
             }};
 }
 
@@ -153,7 +169,7 @@
     return true;
 }
 
-void request_session::on_head(attempt& current, const http::response_head& head)
+void request_session::on_head(attempt& current, const http::answer_head& head)
 {
     current.head = head;
     current.metadata = core_.protocol.parse_answer(head);
@@ -169,10 +185,43 @@
     current.is_stream = success && current.metadata.verified && route_->streaming &&
                         !is_encoded(head) &&
                         view(head[http::field::content_type]).starts_with("text/event-stream");
+    // One copy here and one at the connection.
+    current.expected_bytes = 2 * head.memory();
     if (!current.is_stream)
     {
         current.answer_begun = core_.now();
+        current.expected_bytes += stated_length(head);
+    }
+}
+
+bool request_session::may_read(attempt& current)
+{
+    const bool was_held_back = current.held_back;
+    current.held_back = attempt_.get() == &current && !has_room_for(current);
+    if (current.held_back && !was_held_back)
+    {
+        ++core_.memory.counts.waits;
+    }
+    if (was_held_back)
+    {
+        current.last_activity = core_.now();
     }
+    return !current.held_back;
+}
+
+bool request_session::has_room_for(attempt& current)
+{
+    if (!current.head)
+    {
+        return true;
+    }
+    if (current.is_stream)
+    {
+        return request_->has_room() &&
+               current.held.try_set(current.expected_bytes + 2 * current.events.partial_bytes());
+    }
+    const auto kept = std::max(current.body.size() + http::max_read_bytes, current.body.capacity());
+    return current.held.try_set(std::max(current.expected_bytes, kept));
 }
 
 void request_session::on_body(attempt& current, std::string_view part)
@@ -189,7 +238,13 @@
     }
     if (current.body.size() + part.size() <= max_buffered_answer)
     {
+        if (current.body.empty())
+        {
+            // A body that grows takes twice its length.
+            current.body.reserve(stated_length(*current.head));
+        }
         current.body += part;
+        current.held.set(std::max(current.held.bytes(), current.body.capacity()));
         return;
     }
     on_attempt_ended(attempt_outcome::truncated);
--- a/src/libcaraway/router/request_end.cpp
+++ b/src/libcaraway/router/request_end.cpp
@@ -46,7 +46,7 @@
 
 }  // namespace
 
-void request_session::deliver(const attempt& current)
+void request_session::deliver(attempt& current)
 {
     if (answer_begun_)
     {
@@ -61,7 +61,8 @@
     }
     else
     {
-        request_->respond(head_for_caller(*current.head), current.body);
+        request_->respond(head_for_caller(*current.head), std::move(current.body),
+                          std::move(current.held));
     }
     if (core_.crashes.has_suspects() && !http::ends_with_connection(*current.head))
     {
@@ -70,7 +71,7 @@
     finish("answered", current.head->result_int(), "");
 }
 
-http::response_head request_session::head_for_caller(const http::response_head& upstream_head) const
+http::response_head request_session::head_for_caller(const http::answer_head& upstream_head) const
 {
     auto head = http::make_response(upstream_head.result());
     head.result(upstream_head.result_int());
@@ -78,7 +79,10 @@
     {
         if (core_.protocol.passes_to_caller(view(field.name_string())))
         {
-            head.insert(field.name_string(), field.value());
+            const auto name = field.name_string();
+            const auto value = field.value();
+            head.insert(boost::beast::string_view(name.data(), name.size()),
+                        boost::beast::string_view(value.data(), value.size()));
         }
     }
     return head;
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -38,10 +38,16 @@
         base::time_point sent_at{};
         /// Time left when the request was sent of a rest that the upstream had asked for.
         std::chrono::milliseconds rest_left{};
-        std::optional<http::response_head> head;
+        std::optional<http::answer_head> head;
         answer_metadata metadata;
         std::string body;
         http::event_splitter events;
+        /// Counts what is kept of the answer.
+        http::memory_hold held;
+        /// Memory that the answer's head takes, and its body if its length is known.
+        std::size_t expected_bytes = 0;
+        /// The answer isn't read on, for lack of room or as the caller doesn't read.
+        bool held_back = false;
         /// The response is an event stream that is relayed event by event.
         bool is_stream = false;
         /// The first event arrived: the upstream has processed the prompt.
@@ -108,7 +114,10 @@
     http::call_events call_handlers(const std::shared_ptr<attempt>& current);
     /// A connection was opened for the request. Returns whether its upstream still takes it.
     bool on_opened(attempt& current);
-    void on_head(attempt& current, const http::response_head& head);
+    void on_head(attempt& current, const http::answer_head& head);
+    /// Whether more of the answer may be read.
+    bool may_read(attempt& current);
+    bool has_room_for(attempt& current);
     void on_body(attempt& current, std::string_view part);
     void on_end(attempt& current);
     void on_failed(attempt& current, http::call_failure failure);
@@ -139,7 +148,7 @@
     std::optional<routing::placement> find_placement(const routing::admission_terms& terms);
     /// Whether an upstream would take the request on the terms of a workspace within its share.
     bool has_place_within_share();
-    void deliver(const attempt& current);
+    void deliver(attempt& current);
     void reject(std::string_view reason);
     /// Why no upstream was found; `default_reason` if there is no more specific reason.
     std::string_view unplaced_reason(std::string_view default_reason) const;
@@ -159,7 +168,7 @@
     void on_deadline();
     void on_caller_left();
 
-    http::response_head head_for_caller(const http::response_head& upstream_head) const;
+    http::response_head head_for_caller(const http::answer_head& upstream_head) const;
     bool is_idempotent() const;
     /// Identifies the request, body included, when its caller sends it again to any router.
     attempts::request_fingerprint fingerprint();
--- a/src/libcaraway/router/request_silence.cpp
+++ b/src/libcaraway/router/request_silence.cpp
@@ -49,6 +49,11 @@
         return;
     }
     const auto now = core_.now();
+    if (attempt_->held_back)
+    {
+        // An answer that isn't read says nothing about its upstream.
+        attempt_->last_activity = now;
+    }
     const auto silent = to_milliseconds(now - attempt_->last_activity);
     if (silent < silence_timeout())
     {
--- a/src/libcaraway/router/settings.hpp
+++ b/src/libcaraway/router/settings.hpp
@@ -45,6 +45,8 @@
     /// Maximum time that callers cache a list of entry points.
     std::chrono::seconds entry_lifetime{1};
     std::size_t max_descriptors = 4096;
+    /// Bytes that the process may take, with what the kernel has received for it.
+    std::size_t memory = std::size_t{256} << 20U;
     /// Processor time of the VM, in cores.
     double capacity = 1;
 };
--- a/src/libcaraway/router/settings_change.cpp
+++ b/src/libcaraway/router/settings_change.cpp
@@ -39,6 +39,7 @@
     require_unchanged(same_address(current.directory, next.directory), "directory");
     require_unchanged(same_address(current.datagrams, next.datagrams), "datagrams");
     require_unchanged(current.max_descriptors == next.max_descriptors, "max_descriptors");
+    require_unchanged(current.memory == next.memory, "memory");
     require_unchanged(current.engines_crash_out_of_memory == next.engines_crash_out_of_memory,
                       "engines_crash_out_of_memory");
     apply(current.store, next.store, "store");
--- a/tests/http/test_client_connection.cpp
+++ b/tests/http/test_client_connection.cpp
@@ -38,7 +38,7 @@
             "POST /a HTTP/1.1\r\nHost: x\r\nX-Request-Id: " + id +
                 "\r\nContent-Length: 2\r\n\r\nhi",
             false,
-            {.head = [=](const http::response_head& head) { result->status = head.result_int(); },
+            {.head = [=](const http::answer_head& head) { result->status = head.result_int(); },
              .body = [=](std::string_view part) { result->body += part; },
              .end = [=] { result->ended = true; },
              .failed =
@@ -46,7 +46,7 @@
              {
                  result->failure = failure;
              }},
-            [id](const http::response_head& head) { return head["X-Request-Id"] == id; });
+            [id](const http::answer_head& head) { return head["X-Request-Id"] == id; });
         return result;
     }
 
--- a/tests/users_platform/test_answer_metadata.cpp
+++ b/tests/users_platform/test_answer_metadata.cpp
@@ -13,7 +13,7 @@
 
 router::answer_metadata parse(unsigned status, const std::string& field, const std::string& value)
 {
-    auto head = http::make_response(http::status::ok);
+    http::answer_head head;
     head.result(status);
     head.set(field, value);
     return platform::caller_protocol().parse_answer(head);
--- a/tests/users_platform/test_forwarded_requests.cpp
+++ b/tests/users_platform/test_forwarded_requests.cpp
@@ -16,7 +16,7 @@
                                                        const std::string& body,
                                                        const router::forward_options& options)
 {
-    const auto message = platform::caller_protocol().forward(head, body, options);
+    const auto message = platform::caller_protocol().forward(head, body.size(), options) + body;
     beast_http::request_parser<beast_http::string_body> parser;
     parser.eager(true);
     boost::system::error_code error;
--- a/tests/users_platform/test_requests.cpp
+++ b/tests/users_platform/test_requests.cpp
@@ -257,11 +257,11 @@
     head.set("Kv-Fetch", "1.2.3.4:5");
     const auto protocol = caraway::platform::caller_protocol();
     const caraway::router::forward_options options{.instance = caraway::base::upstream_id("i-1")};
-    BOOST_TEST(protocol.forward(head, "", options).find("Kv-Fetch") == std::string::npos);
+    BOOST_TEST(protocol.forward(head, 0, options).find("Kv-Fetch") == std::string::npos);
 
     auto options_with_source = options;
     options_with_source.fetch_from = caraway::routing::endpoint{.ip = "10.0.0.9", .port = 80};
-    const auto message = protocol.forward(head, "", options_with_source);
+    const auto message = protocol.forward(head, 0, options_with_source);
     BOOST_TEST(message.find("Kv-Fetch: 10.0.0.9:80\r\n") != std::string::npos);
     BOOST_TEST(message.find("1.2.3.4") == std::string::npos);
 }
