--- a/src/libcaraway/http/server_connection.cpp
+++ b/src/libcaraway/http/server_connection.cpp
@@ -350,9 +350,15 @@
 std::size_t server_connection::request_memory() const
 {
     std::size_t bytes = connection_bytes + buffer_.capacity();
-    bytes += current_
-                 ? active_request_bytes + current_->memory()
-                 : parser_->head().memory() + std::max(expected_body_, parser_->body().capacity());
+    if (current_)
+    {
+        bytes += active_request_bytes + current_->memory();
+    }
+    else
+    {
+        const auto expected = waits_for_room_ ? 0 : expected_body_;
+        bytes += parser_->head().memory() + std::max(expected, parser_->body().capacity());
+    }
     const bool is_full_in_kernel = limits_.memory != nullptr && is_reading_paused();
     return bytes + (is_full_in_kernel ? limits_.memory->limits().receive_buffer : 0);
 }
@@ -398,14 +404,9 @@
         return;
     }
     waits_for_room_ = true;
-    timers_.after(room_check_period,
-                  [weak = weak_from_this()]
-                  {
-                      if (const auto self = weak.lock())
-                      {
-                          self->check_room();
-                      }
-                  });
+    recount();
+    // Nothing else owns the connection while it isn't read.
+    timers_.after(room_check_period, [self = shared_from_this()] { self->check_room(); });
 }
 
 void server_connection::go_on_with_body()
@@ -695,6 +696,7 @@
         on_output_taken();
         return;
     }
+    set_deadline(limits_.idle_timeout);
     recount();
     read();
 }
