--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -132,6 +132,11 @@
     };
     connect_stream_origins();
     open_tables(platform_);
+    // Added once: between removing and adding them a signal would end the process or be lost.
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP})
+    {
+        signals_.add(signal);
+    }
     watch_signals();
     core_.log.line("start", {{"router", addresses.name.str()},
                              {"zone", addresses.zone.str()},
@@ -186,9 +191,6 @@
 
 void daemon::watch_signals()
 {
-    signals_.add(SIGTERM);
-    signals_.add(SIGINT);
-    signals_.add(SIGHUP);
     signals_.async_wait(owner_.guard(
         [this](const boost::system::error_code& error, int signal)
         {
@@ -204,7 +206,6 @@
             {
                 stop();
             }
-            signals_.clear();
             watch_signals();
         }));
 }
--- a/tests/clients/client_fixture.hpp
+++ b/tests/clients/client_fixture.hpp
@@ -20,6 +20,9 @@
     /// answers an ordinary request, while the crowd is there and after it has left.
     void check_against(const crowd::terms& sent);
 
+    /// Whether an ordinary request is answered with 200; it is sent again as callers may.
+    bool is_request_answered();
+
     /// The head of a request; `fields` are header fields, each ended by CRLF.
     static std::string head(const std::string& path, std::size_t number, const std::string& fields);
     /// Fields that fill a head up to the limit with lines of no content.
@@ -34,9 +37,6 @@
     /// Lets the crowd act until the time is over or the process is gone or beyond its memory.
     void watch(std::chrono::seconds period);
     void check_bounds(const char* when);
-    /// Whether an ordinary request is answered with 200; it is sent again as callers may.
-    bool is_request_answered();
-
     std::size_t largest_use_ = 0;
     std::size_t most_descriptors_ = 0;
 };
--- a/tests/clients/router_process.cpp
+++ b/tests/clients/router_process.cpp
@@ -112,13 +112,21 @@
 
 bool router_process::is_running()
 {
-    if (pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == pid_)
+    if (pid_ > 0 && ::waitpid(pid_, &exit_status_, WNOHANG) == pid_)
     {
         pid_ = -1;
     }
     return pid_ > 0;
 }
 
+void router_process::send_signal(int number)
+{
+    if (is_running())
+    {
+        ::kill(pid_, number);
+    }
+}
+
 std::size_t router_process::status_bytes(const std::string& name) const
 {
     std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
--- a/tests/clients/router_process.hpp
+++ b/tests/clients/router_process.hpp
@@ -40,6 +40,12 @@
         return ports_;
     }
     bool is_running();
+    /// What `waitpid` said of the end: 0 after an orderly one.
+    int exit_status() const
+    {
+        return exit_status_;
+    }
+    void send_signal(int number);
     /// Bytes: the largest resident size so far, and what it is now.
     std::size_t peak_memory() const;
     std::size_t memory() const;
@@ -55,6 +61,7 @@
     router_ports ports_;
     std::string folder_;
     pid_t pid_ = -1;
+    int exit_status_ = 0;
 };
 
 }  // namespace client_tests
