HTTP: what counts memory lives as long as what it counts

Found on reading the change again: handlers of the event loop own connections and attempts beyond the router's core, and gave back what they held to a budget that was gone. They share it now; memory_budgets has a case.

--- a/src/libcaraway/http/memory_budget.hpp
+++ b/src/libcaraway/http/memory_budget.hpp
@@ -3,6 +3,8 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
+#include <utility>
 
 namespace caraway::http
 {
@@ -113,7 +115,10 @@
 {
 public:
     memory_hold() = default;
-    memory_hold(memory_budget* budget, held_for kind) : budget_(budget), kind_(kind) {}
+    memory_hold(std::shared_ptr<memory_budget> budget, held_for kind)
+        : budget_(std::move(budget)), kind_(kind)
+    {
+    }
     memory_hold(memory_hold&& other) noexcept;
     memory_hold& operator=(memory_hold&& other) noexcept;
     memory_hold(const memory_hold&) = delete;
@@ -142,7 +147,8 @@
         return bytes > memory_budget::small_bytes ? bytes - memory_budget::small_bytes : 0;
     }
 
-    memory_budget* budget_ = nullptr;
+    /// Shared, as handlers of the event loop may outlive the owner of the budget.
+    std::shared_ptr<memory_budget> budget_;
     held_for kind_ = held_for::request;
     std::size_t bytes_ = 0;
 };
--- a/src/libcaraway/http/server_connection.hpp
+++ b/src/libcaraway/http/server_connection.hpp
@@ -33,7 +33,7 @@
     /// Whether the bodies of requests are kept; else they are read and dropped.
     bool keeps_body = true;
     /// Counts what connections hold; null: it isn't counted. The same for all requests.
-    memory_budget* memory = nullptr;
+    std::shared_ptr<memory_budget> memory{};
 };
 
 /// A request and the answer to it. An answer started with `begin` is completed only by `finish`;
--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -44,8 +44,8 @@
            telemetry::line_log& process_log)
     : loop(event_loop), clock(process_clock), options(std::move(process_options)),
       protocol(std::move(protocol_of_callers)), log(process_log), timers(loop, clock),
-      pool(loop, timers),
-      memory(http::divide_memory(options.memory, limits_of_connections(options).total())),
+      pool(loop, timers), memory(std::make_shared<http::memory_budget>(http::divide_memory(
+                              options.memory, limits_of_connections(options).total()))),
       slow_start(options.name), retries(options.retries), placer({.zone = options.zone}),
       health_options(health_settings()), health(health_options), random_(std::random_device{}())
 {
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -190,7 +190,7 @@
     http::timer_queue timers;
     http::upstream_pool pool;
     /// What is held for callers, at all addresses.
-    http::memory_budget memory;
+    std::shared_ptr<http::memory_budget> memory;
     metrics::registry metrics;
     router::request_metrics request_metrics{metrics};
     routing::upstream_directory directory;
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -153,7 +153,7 @@
     {
         http::server_limits result{.keep_alive = keep_alive_at(callers_->used_fraction()),
                                    .closing = is_stopping(),
-                                   .memory = &core_.memory};
+                                   .memory = core_.memory};
         if (const auto table = core_.table())
         {
             const auto& configured = table->accepted().limits;
@@ -166,13 +166,13 @@
     };
     const auto internal_limits = [this]
     {
-        return http::server_limits{.keeps_body = false, .memory = &core_.memory};
+        return http::server_limits{.keeps_body = false, .memory = core_.memory};
     };
     const auto make_listener = [&](auto limits_of, auto handler, std::size_t connections)
     {
         auto opened = std::make_unique<http::listener>(core_.loop, core_.timers, limits_of, handler,
                                                        connections);
-        opened->set_receive_buffer(core_.memory.limits().receive_buffer);
+        opened->set_receive_buffer(core_.memory->limits().receive_buffer);
         return opened;
     };
     callers_ = make_listener(
@@ -291,13 +291,13 @@
 
 void daemon::relieve_memory()
 {
-    if (!core_.memory.take_shortage())
+    if (!core_.memory->take_shortage())
     {
         return;
     }
     for (auto* listener : {&callers_, &readiness_, &directory_, &control_, &metrics_})
     {
-        (*listener)->relieve(core_.memory);
+        (*listener)->relieve(*core_.memory);
     }
 }
 
--- a/src/libcaraway/router/daemon_answers.cpp
+++ b/src/libcaraway/router/daemon_answers.cpp
@@ -193,7 +193,7 @@
     set_gauge("caraway_admitted_work",
               "Work of the requests admitted per second, in events relayed, smoothed.",
               door_.budget().work_rate());
-    const auto& memory = core_.memory;
+    const auto& memory = *core_.memory;
     set_gauge("caraway_memory_held_bytes", "Bytes held for callers, at all addresses.",
               static_cast<double>(memory.held()));
     set_gauge("caraway_memory_limit_bytes", "Bytes that may be held for callers.",
--- a/src/libcaraway/router/daemon_report.cpp
+++ b/src/libcaraway/router/daemon_report.cpp
@@ -66,7 +66,7 @@
 
 void daemon::log_memory()
 {
-    const auto& memory = core_.memory;
+    const auto& memory = *core_.memory;
     const auto before = std::exchange(last_memory_counts_, memory.counts);
     const auto& now = memory.counts;
     if (now == before)
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -101,7 +101,7 @@
     tried_.push_back(id);
     ++attempts_sent_;
     attempt_ = std::make_shared<attempt>();
-    attempt_->held = http::memory_hold(&core_.memory, http::held_for::answer);
+    attempt_->held = http::memory_hold(core_.memory, http::held_for::answer);
     last_placement_ = placement;
     last_sent_at_ = now;
     last_connect_time_ = {};
@@ -200,7 +200,7 @@
     current.held_back = attempt_.get() == &current && !has_room_for(current);
     if (current.held_back && !was_held_back)
     {
-        ++core_.memory.counts.waits;
+        ++core_.memory->counts.waits;
     }
     if (was_held_back)
     {
--- a/tests/http/test_memory_budget.cpp
+++ b/tests/http/test_memory_budget.cpp
@@ -13,12 +13,14 @@
 
 struct budget_fixture
 {
-    http::memory_budget budget{
-        {.total = 10 * small, .large_requests = 4 * small, .large_answers = 4 * small}};
-    memory_hold upload{&budget, held_for::request};
-    memory_hold other_upload{&budget, held_for::request};
-    memory_hold answer{&budget, held_for::answer};
-    memory_hold other_answer{&budget, held_for::answer};
+    std::shared_ptr<http::memory_budget> shared =
+        std::make_shared<http::memory_budget>(http::memory_limits{
+            .total = 10 * small, .large_requests = 4 * small, .large_answers = 4 * small});
+    http::memory_budget& budget = *shared;
+    memory_hold upload{shared, held_for::request};
+    memory_hold other_upload{shared, held_for::request};
+    memory_hold answer{shared, held_for::answer};
+    memory_hold other_answer{shared, held_for::answer};
 };
 
 }  // namespace
@@ -56,7 +58,7 @@
 BOOST_AUTO_TEST_CASE(what_is_dropped_or_taken_over_is_given_back)
 {
     {
-        memory_hold dropped(&budget, held_for::answer);
+        memory_hold dropped(shared, held_for::answer);
         dropped.set(3 * small);
         answer.absorb(dropped);
         BOOST_TEST(dropped.bytes() == 0U);
@@ -69,6 +71,19 @@
     BOOST_TEST(budget.held_by_large(held_for::answer) == 0U);
 }
 
+// Guards against holds that are given back to a budget that is gone.
+BOOST_AUTO_TEST_CASE(a_budget_lives_as_long_as_what_it_counts)
+{
+    auto own = std::make_shared<http::memory_budget>(budget.limits());
+    const std::weak_ptr<http::memory_budget> watched = own;
+    memory_hold last(own, held_for::answer);
+    last.set(small);
+    own.reset();
+    BOOST_TEST(watched.lock()->held() == small);
+    last = memory_hold();
+    BOOST_TEST(watched.expired());
+}
+
 BOOST_AUTO_TEST_CASE(without_a_budget_everything_has_room)
 {
     memory_hold uncounted;
--- a/tests/http/test_slow_callers.cpp
+++ b/tests/http/test_slow_callers.cpp
@@ -147,9 +147,9 @@
 // Guards against bodies that each are within the limits and together take all memory.
 BOOST_AUTO_TEST_CASE(a_body_without_room_waits_and_is_refused_before_it_has_run)
 {
-    http::memory_budget budget(
-        {.total = 1U << 20U, .large_requests = 70000, .large_answers = 70000});
-    limits.memory = &budget;
+    limits.memory = std::make_shared<http::memory_budget>(
+        http::memory_limits{.total = 1U << 20U, .large_requests = 70000, .large_answers = 70000});
+    auto& budget = *limits.memory;
     limits.body_bytes = 100000;
     const std::string upload = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 80000\r\n\r\n";
     const auto first = caller();
@@ -174,9 +174,9 @@
 // Guards against a crowd that holds what there is until its time is over.
 BOOST_AUTO_TEST_CASE(who_withholds_a_body_gives_way_where_room_is_scarce)
 {
-    http::memory_budget budget(
-        {.total = 1U << 20U, .large_requests = 70000, .large_answers = 70000});
-    limits.memory = &budget;
+    limits.memory = std::make_shared<http::memory_budget>(
+        http::memory_limits{.total = 1U << 20U, .large_requests = 70000, .large_answers = 70000});
+    auto& budget = *limits.memory;
     limits.body_bytes = 100000;
     const auto withholding = caller();
     withholding->send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 80000\r\n\r\n");
