--- a/src/libcaraway/http/client_connection.cpp
+++ b/src/libcaraway/http/client_connection.cpp
@@ -292,7 +292,7 @@
 {
     parser_.emplace();
     parser_->header_limit(max_head_bytes);
-    // The parser takes no limit for a limit of none.
+    // Boost 1.74 refuses every body with a length if there is no limit.
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     parser_->eager(true);
     parser_->skip(head_only_);
