--- a/src/libcaraway/http/flat_parser.hpp
+++ b/src/libcaraway/http/flat_parser.hpp
@@ -12,8 +12,8 @@
 /// What parsing a request and parsing an answer have in common: the head's lines in a flat head,
 /// and the body. Fields behind a chunked body are left out: a caller could use them to override
 /// fields of the head.
-template <bool is_request, class Head>
-class flat_parser : public boost::beast::http::basic_parser<is_request>
+template <bool IsRequest, class Head>
+class flat_parser : public boost::beast::http::basic_parser<IsRequest>
 {
 public:
     Head& head()
