--- a/review/9/case.py
+++ b/review/9/case.py
@@ -41,8 +41,10 @@
         await s.wait_until(router.is_ready, 15, "all routers are ready")
     tasks = []
     statuses = {}
+    sent_at = {}
 
     async def send(name, router):
+        sent_at[name] = record.now()
         fields = [("X-Request-Id", name), ("X-Deadline-Ms", "1000"), ("Api-Key", s.KEY)]
         try:
             statuses[name] = (await s.call(router.ports["frontend"], "POST", "/a/1", fields)).status
@@ -72,8 +74,8 @@
     await asyncio.sleep(3)
     sender.cancel()
     await asyncio.gather(*tasks)
-    begin = max(acknowledged + DRAIN_S, silent_at + CONTACT_S)
-    late = [run for run in leaving.runs if run.at > begin]
+    late = [run for run in leaving.runs
+            if run.at > acknowledged + DRAIN_S and sent_at[run.id] > silent_at + CONTACT_S]
     lost = [run.id for run in leaving.runs if statuses.get(run.id) != 200]
     last = max(run.at for run in leaving.runs)
     record.line(f"the last request reaches it {last - acknowledged:.2f} s after the acknowledgement")
