Crashes: each process of an upstream that a request crashes counts

Cause: crashes were counted as a set of hashes of upstream ids. A process that starts again under its id added nothing. The logs showed each crash and each restart; no suspect got beyond two.

Change: a crash is told by the id and the start of the process, for requests and for parts of prompts, in counts and digests. Earlier builds skip the starts; a crash without one may be any of its upstream's and adds nothing where one is known. What is lost at a process whose successor is known is evidence at once, and the detector evicts what is too old.

Ruled out: missing evidence (each crash was logged), merging of digests.

--- a/cmake/router.cmake
+++ b/cmake/router.cmake
@@ -7,6 +7,7 @@
 # Parts of the older folders that need no Qt.
 list(APPEND router_sources
     ${lib}/attempts/crash_detector.cpp ${lib}/attempts/crash_suspects.cpp
+    ${lib}/attempts/upstream_incarnation.cpp
     ${lib}/base/error.cpp ${lib}/scheduling/stable_hash.cpp ${lib}/scheduling/upstream_health.cpp
     ${lib}/scheduling/upstream_rests.cpp
     ${lib}/scheduling/actions.cpp ${lib}/metrics/registry.cpp ${lib}/metrics/histogram.cpp
--- a/src/libcaraway/attempts/crash_detector.cpp
+++ b/src/libcaraway/attempts/crash_detector.cpp
@@ -24,13 +24,13 @@
 
 crash_detector::crash_detector(crash_detector_options options) : options_(options) {}
 
-void crash_detector::record_started(const base::upstream_id& upstream,
+void crash_detector::record_started(const upstream_incarnation& upstream,
                                     request_fingerprint fingerprint)
 {
     upstreams_[upstream].in_flight.push_back(fingerprint);
 }
 
-void crash_detector::record_ended(const base::upstream_id& upstream,
+void crash_detector::record_ended(const upstream_incarnation& upstream,
                                   request_fingerprint fingerprint)
 {
     const auto found = upstreams_.find(upstream);
@@ -41,7 +41,7 @@
 }
 
 std::optional<upstream_crash>
-crash_detector::record_connection_lost(const base::upstream_id& upstream,
+crash_detector::record_connection_lost(const upstream_incarnation& upstream,
                                        request_fingerprint fingerprint, base::time_point now)
 {
     const auto found = upstreams_.find(upstream);
@@ -67,8 +67,8 @@
     return take_crash(upstream, state);
 }
 
-std::optional<upstream_crash> crash_detector::record_unreachable(const base::upstream_id& upstream,
-                                                                 base::time_point now)
+std::optional<upstream_crash>
+crash_detector::record_unreachable(const upstream_incarnation& upstream, base::time_point now)
 {
     auto& state = upstreams_[upstream];
     state.unreachable = now;
@@ -81,7 +81,27 @@
     return take_crash(upstream, state);
 }
 
-void crash_detector::record_healthy(const base::upstream_id& upstream)
+std::vector<upstream_crash> crash_detector::record_restarted(const upstream_incarnation& upstream,
+                                                             base::time_point now)
+{
+    std::vector<upstream_incarnation> previous;
+    for (auto position = upstreams_.lower_bound({.id = upstream.id});
+         position != upstreams_.end() && position->first < upstream; ++position)
+    {
+        previous.push_back(position->first);
+    }
+    std::vector<upstream_crash> crashes;
+    for (const auto& each : previous)
+    {
+        if (auto crash = record_unreachable(each, now))
+        {
+            crashes.push_back(std::move(*crash));
+        }
+    }
+    return crashes;
+}
+
+void crash_detector::record_healthy(const upstream_incarnation& upstream)
 {
     const auto found = upstreams_.find(upstream);
     if (found == upstreams_.end())
@@ -96,7 +116,24 @@
     }
 }
 
-upstream_crash crash_detector::take_crash(const base::upstream_id& upstream, upstream_state& state)
+void crash_detector::expire(base::time_point now)
+{
+    std::erase_if(upstreams_, [&](const auto& entry) { return has_expired(entry.second, now); });
+}
+
+bool crash_detector::has_expired(const upstream_state& state, base::time_point now) const
+{
+    const auto is_old = [&](base::time_point at)
+    {
+        return at + options_.loss_retention <= now;
+    };
+    return state.in_flight.empty() && (!state.unreachable || is_old(*state.unreachable)) &&
+           std::all_of(state.lost.begin(), state.lost.end(),
+                       [&](const lost_request& entry) { return is_old(entry.at); });
+}
+
+upstream_crash crash_detector::take_crash(const upstream_incarnation& upstream,
+                                          upstream_state& state)
 {
     upstream_crash crash{.upstream = upstream, .in_flight = std::move(state.in_flight)};
     for (const auto& entry : state.lost)
--- a/src/libcaraway/attempts/crash_detector.hpp
+++ b/src/libcaraway/attempts/crash_detector.hpp
@@ -12,7 +12,7 @@
 /// A crash of an upstream, with the requests of this router that were in flight there.
 struct upstream_crash
 {
-    base::upstream_id upstream;
+    upstream_incarnation upstream;
     std::vector<request_fingerprint> in_flight;
 
     friend bool operator==(const upstream_crash&, const upstream_crash&) = default;
@@ -35,21 +35,33 @@
 public:
     explicit crash_detector(crash_detector_options options = {});
 
-    void record_started(const base::upstream_id& upstream, request_fingerprint fingerprint);
+    void record_started(const upstream_incarnation& upstream, request_fingerprint fingerprint);
     /// Records the end of a request for any reason other than a lost connection.
-    void record_ended(const base::upstream_id& upstream, request_fingerprint fingerprint);
+    void record_ended(const upstream_incarnation& upstream, request_fingerprint fingerprint);
     /// Records that the connection was reset or closed before the complete answer. Returns the
     /// crash if one is detected.
-    std::optional<upstream_crash> record_connection_lost(const base::upstream_id& upstream,
+    std::optional<upstream_crash> record_connection_lost(const upstream_incarnation& upstream,
                                                          request_fingerprint fingerprint,
                                                          base::time_point now);
     /// Records that a health check failed or that a new connection was refused. Together with a
     /// lost connection shortly before or after, this counts as a crash. Returns the crash if one is
     /// detected.
-    std::optional<upstream_crash> record_unreachable(const base::upstream_id& upstream,
+    std::optional<upstream_crash> record_unreachable(const upstream_incarnation& upstream,
                                                      base::time_point now);
+    /// Records that this process runs under the id of an upstream, so that previous ones have
+    /// ended. Those with connections lost shortly before crashed, and are returned.
+    std::vector<upstream_crash> record_restarted(const upstream_incarnation& upstream,
+                                                 base::time_point now);
     /// Records that a health check passed, so that earlier losses were single broken connections.
-    void record_healthy(const base::upstream_id& upstream);
+    void record_healthy(const upstream_incarnation& upstream);
+    /// Evicts what is too old to be matched.
+    void expire(base::time_point now);
+
+    /// Number of upstreams of which something is kept.
+    std::size_t size() const
+    {
+        return upstreams_.size();
+    }
 
 private:
     struct lost_request
@@ -64,10 +76,11 @@
         std::optional<base::time_point> unreachable;
     };
 
-    upstream_crash take_crash(const base::upstream_id& upstream, upstream_state& state);
+    bool has_expired(const upstream_state& state, base::time_point now) const;
+    upstream_crash take_crash(const upstream_incarnation& upstream, upstream_state& state);
 
     crash_detector_options options_;
-    std::map<base::upstream_id, upstream_state> upstreams_;
+    std::map<upstream_incarnation, upstream_state> upstreams_;
 };
 
 }  // namespace caraway::attempts
--- a/src/libcaraway/attempts/crash_suspects.cpp
+++ b/src/libcaraway/attempts/crash_suspects.cpp
@@ -1,10 +1,8 @@
 #include "libcaraway/attempts/crash_suspects.hpp"
 
-#include <boost/uuid/name_generator_sha1.hpp>
-#include <boost/uuid/nil_generator.hpp>
+#include "libcaraway/attempts/field_hash.hpp"
 
 #include <algorithm>
-#include <initializer_list>
 #include <iterator>
 #include <string>
 
@@ -14,30 +12,9 @@
 namespace
 {
 
-/// Maximum number of crashed upstreams kept per suspect. More would not change the verdict; the
+/// Maximum number of crashes kept per suspect. More would not change the verdict; the
 /// limit bounds the memory that a peer can make this router use.
-constexpr std::size_t max_upstreams = 8;
-
-/// The first bits of a SHA-1 over the fields. Each field is prefixed with its length, so that a
-/// caller can't craft fields that are hashed as the same bytes as another caller's request.
-template <class Number>
-Number hash_of(std::initializer_list<std::string_view> fields)
-{
-    std::string input;
-    for (const auto field : fields)
-    {
-        input += std::to_string(field.size()) + ':';
-        input += field;
-    }
-    const boost::uuids::name_generator_sha1 generate(boost::uuids::nil_uuid());
-    const auto hash = generate(input);
-    Number value{};
-    for (std::size_t byte = 0; byte < sizeof(Number); ++byte)
-    {
-        value = static_cast<Number>(value << 8U) | hash.data[byte];
-    }
-    return value;
-}
+constexpr std::size_t max_crashes = 8;
 
 }  // namespace
 
@@ -47,14 +24,9 @@
     return request_fingerprint{hash_of<std::uint64_t>({workspace.str(), service.str(), body})};
 }
 
-upstream_fingerprint upstream_fingerprint_of(const base::upstream_id& upstream)
-{
-    return upstream_fingerprint{hash_of<std::uint32_t>({upstream.str()})};
-}
-
 crash_suspects::crash_suspects(crash_options options) : options_(options) {}
 
-void crash_suspects::record_crash(const base::upstream_id& upstream,
+void crash_suspects::record_crash(const upstream_incarnation& upstream,
                                   const std::vector<request_fingerprint>& in_flight, bool ran_alone,
                                   base::time_point now)
 {
@@ -65,7 +37,7 @@
     };
     // A refused request in flight (sent before it was refused) explains the crash.
     const bool refused_in_flight = std::any_of(in_flight.begin(), in_flight.end(), is_refused);
-    const auto id_hash = upstream_fingerprint_of(upstream);
+    const auto crash = fingerprint_of(upstream);
     for (const auto fingerprint : in_flight)
     {
         if (refused_in_flight && !is_refused(fingerprint))
@@ -73,11 +45,11 @@
             continue;
         }
         auto& entry = suspects_[fingerprint];
-        if (entry.cleared || entry.upstreams.size() >= max_upstreams)
+        if (entry.cleared || entry.crashes.size() >= max_crashes)
         {
             continue;
         }
-        entry.upstreams.insert(id_hash);
+        add_crash(entry, crash);
         entry.ran_alone = entry.ran_alone || ran_alone;
         entry.expires = std::max(entry.expires, now + options_.suspect_lifetime);
     }
@@ -117,7 +89,7 @@
                                           base::time_point now) const
 {
     const auto* const found = find(fingerprint, now);
-    return found == nullptr ? 0 : static_cast<std::uint32_t>(found->upstreams.size());
+    return found == nullptr ? 0 : static_cast<std::uint32_t>(found->crashes.size());
 }
 
 bool crash_suspects::begin_quarantine(request_fingerprint fingerprint)
@@ -139,8 +111,8 @@
     const auto rank = [&](const base::upstream_id& upstream)
     {
         const auto id_hash = upstream_fingerprint_of(upstream);
-        const bool crashed_before =
-            found != suspects_.end() && found->second.upstreams.contains(id_hash);
+        const bool crashed_before = found != suspects_.end() &&
+                                    contains_crash(found->second.crashes, {.upstream = id_hash});
         return std::pair(crashed_before, id_hash);
     };
     const auto best = std::min_element(
@@ -164,16 +136,15 @@
         const auto left =
             std::chrono::duration_cast<std::chrono::milliseconds>(value.expires - now);
         result.push_back({.fingerprint = fingerprint,
-                          .upstreams = {value.upstreams.begin(), value.upstreams.end()},
+                          .crashes = {value.crashes.begin(), value.crashes.end()},
                           .ran_alone = value.ran_alone,
                           .cleared = value.cleared,
                           .expires_in_ms = static_cast<std::uint32_t>(left.count())});
     }
     std::stable_sort(result.begin(), result.end(),
-                     [](const auto& a, const auto& b)
-                     {
-                         return std::pair(a.ran_alone, a.upstreams.size()) >
-                                std::pair(b.ran_alone, b.upstreams.size());
+                     [](const auto& a, const auto& b) {
+                         return std::pair(a.ran_alone, a.crashes.size()) >
+                                std::pair(b.ran_alone, b.crashes.size());
                      });
     result.resize(std::min(result.size(), limit));
     return result;
@@ -190,23 +161,33 @@
     evict_over_capacity();
 }
 
+void crash_suspects::add_crash(suspect& entry, const crash_fingerprint& crash)
+{
+    if (contains_crash(entry.crashes, crash))
+    {
+        return;
+    }
+    remove_same_crash(entry.crashes, crash);
+    if (entry.crashes.size() < max_crashes)
+    {
+        entry.crashes.insert(crash);
+    }
+}
+
 void crash_suspects::merge_entry(const suspect_entry& other, base::time_point now)
 {
     const auto known = suspects_.find(other.fingerprint);
     const auto before = known == suspects_.end() ? suspect{} : known->second;
     auto merged = before;
-    for (const auto id_hash : other.upstreams)
+    for (const auto& crash : other.crashes)
     {
-        if (merged.upstreams.size() < max_upstreams)
-        {
-            merged.upstreams.insert(id_hash);
-        }
+        add_crash(merged, crash);
     }
     merged.ran_alone = before.ran_alone || other.ran_alone;
     merged.cleared = before.cleared || other.cleared;
     merged.refused = before.refused && !merged.cleared;
-    const bool changed = merged.upstreams != before.upstreams ||
-                         merged.ran_alone != before.ran_alone || merged.cleared != before.cleared;
+    const bool changed = merged.crashes != before.crashes || merged.ran_alone != before.ran_alone ||
+                         merged.cleared != before.cleared;
     if (!changed)
     {
         // Extending the expiry here would let routers keep an entry alive by sending it back and
@@ -225,21 +206,21 @@
     return found == suspects_.end() || found->second.expires <= now ? nullptr : &found->second;
 }
 
-/// Crashed upstreams at which no refused request was in flight.
-std::set<upstream_fingerprint>
+/// Crashes in which no refused request was in flight.
+std::set<crash_fingerprint>
 crash_suspects::unexplained_crashes(suspect_map::const_reference entry) const
 {
-    auto id_hashes = entry.second.upstreams;
+    auto crashes = entry.second.crashes;
     for (const auto& [fingerprint, other] : suspects_)
     {
         if (fingerprint == entry.first || !other.refused)
         {
             continue;
         }
-        std::erase_if(id_hashes,
-                      [&other = other](auto id_hash) { return other.upstreams.contains(id_hash); });
+        std::erase_if(crashes, [&other = other](const auto& crash)
+                      { return contains_crash(other.crashes, crash); });
     }
-    return id_hashes;
+    return crashes;
 }
 
 bool crash_suspects::should_refuse(suspect_map::const_reference entry) const
@@ -247,28 +228,27 @@
     const auto& [fingerprint, value] = entry;
     const auto min_crashes =
         std::min(options_.refusal_threshold, options_.unconditional_refusal_threshold);
-    if (value.cleared || (!value.ran_alone && value.upstreams.size() < min_crashes))
+    if (value.cleared || (!value.ran_alone && value.crashes.size() < min_crashes))
     {
         return false;
     }
-    const auto id_hashes = unexplained_crashes(entry);
-    return (value.ran_alone && !id_hashes.empty()) ||
-           id_hashes.size() >= options_.unconditional_refusal_threshold ||
-           (id_hashes.size() >= options_.refusal_threshold &&
-            !is_ambiguous(fingerprint, id_hashes));
+    const auto crashes = unexplained_crashes(entry);
+    return (value.ran_alone && !crashes.empty()) ||
+           crashes.size() >= options_.unconditional_refusal_threshold ||
+           (crashes.size() >= options_.refusal_threshold && !is_ambiguous(fingerprint, crashes));
 }
 
 /// Whether another suspect was in flight in each of these crashes, so that either may be the cause.
 bool crash_suspects::is_ambiguous(request_fingerprint fingerprint,
-                                  const std::set<upstream_fingerprint>& id_hashes) const
+                                  const std::set<crash_fingerprint>& crashes) const
 {
     return std::any_of(suspects_.begin(), suspects_.end(),
                        [&](const auto& entry)
                        {
                            const auto& [other, value] = entry;
                            return other != fingerprint && !value.cleared && !value.refused &&
-                                  std::includes(value.upstreams.begin(), value.upstreams.end(),
-                                                id_hashes.begin(), id_hashes.end());
+                                  std::includes(value.crashes.begin(), value.crashes.end(),
+                                                crashes.begin(), crashes.end());
                        });
 }
 
--- a/src/libcaraway/attempts/crash_suspects.hpp
+++ b/src/libcaraway/attempts/crash_suspects.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libcaraway/attempts/caller_error.hpp"
+#include "libcaraway/attempts/upstream_incarnation.hpp"
 #include "libcaraway/base/clock.hpp"
 #include "libcaraway/base/ids.hpp"
 
@@ -23,21 +24,14 @@
 request_fingerprint fingerprint_of(const base::workspace_id& workspace,
                                    const base::service_id& service, std::string_view body);
 
-/// Short hash of an upstream id. Identifies the upstreams that crashed while running a request.
-enum class upstream_fingerprint : std::uint32_t
-{
-};
-
-upstream_fingerprint upstream_fingerprint_of(const base::upstream_id& upstream);
-
 /// One suspect as sent between routers. Holds state rather than events, so merging an entry again
 /// is idempotent.
 struct suspect_entry
 {
     request_fingerprint fingerprint{};
-    /// Upstreams that crashed while running the request, sorted, without duplicates.
-    std::vector<upstream_fingerprint> upstreams{};
-    /// The request was known to be the only one in flight at one of these upstreams.
+    /// Crashes of upstreams while they ran the request, sorted, without duplicates.
+    std::vector<crash_fingerprint> crashes{};
+    /// The request was known to be the only one in flight in one of these crashes.
     bool ran_alone = false;
     /// The request has completed on an upstream, so it is not the cause of the crashes.
     bool cleared = false;
@@ -48,10 +42,10 @@
 
 struct crash_options
 {
-    /// Number of distinct upstreams that must crash while running a request before it is refused,
-    /// provided that no other suspect was in flight in all of these crashes.
+    /// Number of crashes of upstreams while running a request before it is refused, provided that
+    /// no other suspect was in flight in all of these crashes.
     std::uint32_t refusal_threshold = 2;
-    /// Number of crashed upstreams after which a request is refused, whatever else was in flight.
+    /// Number of crashes after which a request is refused, whatever else was in flight.
     std::uint32_t unconditional_refusal_threshold = 3;
     std::chrono::milliseconds suspect_lifetime{300000};
     std::chrono::milliseconds refusal_duration{900000};
@@ -79,14 +73,14 @@
 
     /// Records that the upstream crashed while running these requests. `ran_alone`: the upstream is
     /// known to have run nothing else, for any router.
-    void record_crash(const base::upstream_id& upstream,
+    void record_crash(const upstream_incarnation& upstream,
                       const std::vector<request_fingerprint>& in_flight, bool ran_alone,
                       base::time_point now);
     /// Records that the request ran to completion.
     void record_completed(request_fingerprint fingerprint, base::time_point now);
 
     crash_verdict verdict(request_fingerprint fingerprint, base::time_point now) const;
-    /// Number of distinct upstreams that crashed while running the request.
+    /// Number of processes of upstreams that crashed while running the request.
     std::uint32_t crash_count(request_fingerprint fingerprint, base::time_point now) const;
     /// Error for the caller of a refused request. `result` is the outcome of the attempts already
     /// made for this submission of it.
@@ -116,7 +110,7 @@
 private:
     struct suspect
     {
-        std::set<upstream_fingerprint> upstreams;
+        std::set<crash_fingerprint> crashes;
         bool ran_alone = false;
         bool cleared = false;
         bool refused = false;
@@ -125,11 +119,12 @@
     using suspect_map = std::map<request_fingerprint, suspect>;
 
     const suspect* find(request_fingerprint fingerprint, base::time_point now) const;
-    std::set<upstream_fingerprint> unexplained_crashes(suspect_map::const_reference entry) const;
+    std::set<crash_fingerprint> unexplained_crashes(suspect_map::const_reference entry) const;
     bool should_refuse(suspect_map::const_reference entry) const;
     bool is_ambiguous(request_fingerprint fingerprint,
-                      const std::set<upstream_fingerprint>& id_hashes) const;
+                      const std::set<crash_fingerprint>& crashes) const;
     void update_refusals(base::time_point now);
+    static void add_crash(suspect& entry, const crash_fingerprint& crash);
     void merge_entry(const suspect_entry& other, base::time_point now);
     void remove_expired(base::time_point now);
     void evict_over_capacity();
--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -251,7 +251,11 @@
     placer.forget(id);
     engines.forget(id);
     health.discard(id);
-    process_crash(crashes.record_restarted(id, now()));
+    const attempts::upstream_incarnation started{.id = id, .process_start = process_start};
+    for (const auto& crash : crashes.record_restarted(started, now()))
+    {
+        process_crash(crash);
+    }
     std::vector<std::shared_ptr<request_session>> affected;
     if (const auto found = in_flight_.find(id); found != in_flight_.end())
     {
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -120,7 +120,7 @@
                                 attempts::request_fingerprint request,
                                 const routing::parts::part_fingerprints& parts);
     /// Nobody listens at the upstream's address.
-    void record_refused_connection(const base::upstream_id& id);
+    void record_refused_connection(const routing::upstream& upstream);
     /// An upstream answered a request with a rest: it wants nothing from this router for `rest`.
     void record_rest(const base::upstream_id& id, std::chrono::milliseconds rest);
     /// An upstream announced in an answer that it is shutting down.
--- a/src/libcaraway/router/core_crashes.cpp
+++ b/src/libcaraway/router/core_crashes.cpp
@@ -26,13 +26,25 @@
     return encoded;
 }
 
+attempts::upstream_incarnation incarnation_of(const routing::upstream& upstream)
+{
+    return {.id = upstream.id, .process_start = upstream.process_start};
+}
+
 }  // namespace
 
 void core::record_lost_connection(const routing::upstream& upstream,
                                   attempts::request_fingerprint request,
                                   const routing::parts::part_fingerprints& parts)
 {
-    process_crash(crashes.record_lost(upstream.id, request, parts, now()));
+    process_crash(crashes.record_lost(incarnation_of(upstream), request, parts, now()));
+    const auto* listed = directory.find(upstream.id);
+    if (listed != nullptr && listed->process_start > upstream.process_start)
+    {
+        // Another process runs under the id: the one that the request was sent to has ended.
+        record_refused_connection(upstream);
+        return;
+    }
     // Without a check a crash is noticed only when a later request is sent there, if one is.
     if (!parts.empty())
     {
@@ -40,9 +52,9 @@
     }
 }
 
-void core::record_refused_connection(const base::upstream_id& id)
+void core::record_refused_connection(const routing::upstream& upstream)
 {
-    process_crash(crashes.record_refused_connection(id, now()));
+    process_crash(crashes.record_refused_connection(incarnation_of(upstream), now()));
 }
 
 void core::merge_suspected_parts(const std::vector<routing::parts::part_evidence>& received)
@@ -57,16 +69,16 @@
     {
         return;
     }
-    const auto on_result = [this, id = upstream.id](http::listening result)
+    const auto on_result = [this, upstream](http::listening result)
     {
-        checked_upstreams_.erase(id);
+        checked_upstreams_.erase(upstream.id);
         if (result == http::listening::no)
         {
-            record_refused_connection(id);
+            record_refused_connection(upstream);
         }
         else if (result == http::listening::yes)
         {
-            crashes.record_reachable(id);
+            crashes.record_reachable(incarnation_of(upstream));
         }
     };
     timers.after(
@@ -80,8 +92,9 @@
     {
         return;
     }
-    log.line("upstream_crash",
-             {{"upstream", crash->upstream.str()}, {"requests", crash->in_flight.size()}});
+    log.line("upstream_crash", {{"upstream", crash->upstream.id.str()},
+                                {"born", crash->upstream.process_start.count()},
+                                {"requests", crash->in_flight.size()}});
     apply_new_causes();
 }
 
--- a/src/libcaraway/router/request_attempts.cpp
+++ b/src/libcaraway/router/request_attempts.cpp
@@ -373,7 +373,7 @@
         failure == http::call_failure::no_answer || failure == http::call_failure::truncated_answer;
     if (current.connection->was_refused())
     {
-        core_.record_refused_connection(current.placement.target.id);
+        core_.record_refused_connection(current.placement.target);
     }
     else if (was_sent)
     {
--- a/src/libcaraway/routing/crash_tracker.cpp
+++ b/src/libcaraway/routing/crash_tracker.cpp
@@ -15,7 +15,8 @@
 }
 
 std::optional<attempts::upstream_crash>
-crash_tracker::record_lost(const base::upstream_id& upstream, attempts::request_fingerprint request,
+crash_tracker::record_lost(const attempts::upstream_incarnation& upstream,
+                           attempts::request_fingerprint request,
                            const parts::part_fingerprints& parts, base::time_point now)
 {
     const auto crashed = crashed_.find(upstream);
@@ -28,27 +29,38 @@
     }
     detector_.record_started(upstream, request);
     auto crash = detector_.record_connection_lost(upstream, request, now);
-    attribute(crash, now);
+    if (crash)
+    {
+        attribute(*crash, now);
+    }
     return crash;
 }
 
 std::optional<attempts::upstream_crash>
-crash_tracker::record_refused_connection(const base::upstream_id& upstream, base::time_point now)
+crash_tracker::record_refused_connection(const attempts::upstream_incarnation& upstream,
+                                         base::time_point now)
 {
     auto crash = detector_.record_unreachable(upstream, now);
-    attribute(crash, now);
+    if (crash)
+    {
+        attribute(*crash, now);
+    }
     return crash;
 }
 
-std::optional<attempts::upstream_crash>
-crash_tracker::record_restarted(const base::upstream_id& upstream, base::time_point now)
+std::vector<attempts::upstream_crash>
+crash_tracker::record_restarted(const attempts::upstream_incarnation& upstream,
+                                base::time_point now)
 {
-    auto crash = record_refused_connection(upstream, now);
-    record_reachable(upstream);
-    return crash;
+    auto crashes = detector_.record_restarted(upstream, now);
+    for (const auto& crash : crashes)
+    {
+        attribute(crash, now);
+    }
+    return crashes;
 }
 
-void crash_tracker::record_reachable(const base::upstream_id& upstream)
+void crash_tracker::record_reachable(const attempts::upstream_incarnation& upstream)
 {
     detector_.record_healthy(upstream);
     lost_parts_.erase(upstream);
@@ -71,21 +83,16 @@
     suspects_.merge(peer_entries, now);
 }
 
-void crash_tracker::attribute(const std::optional<attempts::upstream_crash>& crash,
-                              base::time_point now)
+void crash_tracker::attribute(const attempts::upstream_crash& crash, base::time_point now)
 {
-    if (!crash)
-    {
-        return;
-    }
-    suspects_.record_crash(crash->upstream, crash->in_flight, false, now);
-    const auto lost = lost_parts_.find(crash->upstream);
+    suspects_.record_crash(crash.upstream, crash.in_flight, false, now);
+    const auto lost = lost_parts_.find(crash.upstream);
     if (lost == lost_parts_.end())
     {
         return;
     }
-    crashed_.try_emplace(crash->upstream, lost->second.first_lost);
-    parts_.record_crash(crash->upstream, lost->second.parts, lost->second.first_lost, now);
+    crashed_.try_emplace(crash.upstream, lost->second.first_lost);
+    parts_.record_crash(crash.upstream, lost->second.parts, lost->second.first_lost, now);
     lost_parts_.erase(lost);
 }
 
@@ -95,6 +102,7 @@
                   { return entry.second.last_lost + options_.detector.loss_retention <= now; });
     std::erase_if(crashed_, [&](const auto& entry)
                   { return entry.second + options_.crash_retention <= now; });
+    detector_.expire(now);
     parts_.expire(now);
 }
 
--- a/src/libcaraway/routing/crash_tracker.hpp
+++ b/src/libcaraway/routing/crash_tracker.hpp
@@ -65,19 +65,18 @@
     /// Records that the connection to the upstream ended before the answer was complete. `parts`
     /// are those of the request's prompt, if its answer had at most begun. Returns the crash if one
     /// is detected.
-    std::optional<attempts::upstream_crash> record_lost(const base::upstream_id& upstream,
-                                                        attempts::request_fingerprint request,
-                                                        const parts::part_fingerprints& parts,
-                                                        base::time_point now);
+    std::optional<attempts::upstream_crash>
+    record_lost(const attempts::upstream_incarnation& upstream,
+                attempts::request_fingerprint request, const parts::part_fingerprints& parts,
+                base::time_point now);
     /// Records that a new connection was refused. One that is not answered is no evidence: links
     /// are cut, too. Returns the crash if one is detected.
     std::optional<attempts::upstream_crash>
-    record_refused_connection(const base::upstream_id& upstream, base::time_point now);
-    /// Records that another process runs under the id of the upstream. If connections were lost
-    /// shortly before, the previous process crashed, and the crash is returned. The losses are then
-    /// cleared, as later events concern the new process only.
-    std::optional<attempts::upstream_crash> record_restarted(const base::upstream_id& upstream,
-                                                             base::time_point now);
+    record_refused_connection(const attempts::upstream_incarnation& upstream, base::time_point now);
+    /// Records that this process runs under the id of an upstream. Previous ones at which
+    /// connections were lost shortly before crashed, and are returned.
+    std::vector<attempts::upstream_crash>
+    record_restarted(const attempts::upstream_incarnation& upstream, base::time_point now);
     /// Records that the complete answer of a request was received.
     void record_completed(attempts::request_fingerprint request, base::time_point now);
     /// Records that an answer to a request with these parts began at `began`, and went on.
@@ -87,7 +86,7 @@
     }
     /// Records that the upstream accepts connections, so that the connections lost there before
     /// were single ones.
-    void record_reachable(const base::upstream_id& upstream);
+    void record_reachable(const attempts::upstream_incarnation& upstream);
 
     /// Suspects for the digest to the other routers, at most `max_digest_entries`.
     std::vector<attempts::suspect_entry> entries(base::time_point now) const;
@@ -113,15 +112,15 @@
     };
 
     /// Counts a crash against the requests that were in flight, and their parts.
-    void attribute(const std::optional<attempts::upstream_crash>& crash, base::time_point now);
+    void attribute(const attempts::upstream_crash& crash, base::time_point now);
 
     crash_tracker_options options_;
     attempts::crash_detector detector_;
     attempts::crash_suspects suspects_;
     parts::part_suspects parts_;
-    std::map<base::upstream_id, lost_parts> lost_parts_;
+    std::map<attempts::upstream_incarnation, lost_parts> lost_parts_;
     /// When upstreams crashed. What is lost there later was sent to a process that is gone.
-    std::map<base::upstream_id, base::time_point> crashed_;
+    std::map<attempts::upstream_incarnation, base::time_point> crashed_;
 };
 
 }  // namespace caraway::routing
--- a/src/libcaraway/routing/digest.cpp
+++ b/src/libcaraway/routing/digest.cpp
@@ -59,16 +59,21 @@
     out.array(suspects.size());
     for (const auto& each : suspects)
     {
-        out.array(5);
+        out.array(6);
         out.unsigned_integer(static_cast<std::uint64_t>(each.fingerprint));
-        out.array(each.upstreams.size());
-        for (const auto mark : each.upstreams)
+        out.array(each.crashes.size());
+        for (const auto& crash : each.crashes)
         {
-            out.unsigned_integer(static_cast<std::uint32_t>(mark));
+            out.unsigned_integer(static_cast<std::uint32_t>(crash.upstream));
         }
         out.boolean(each.ran_alone);
         out.boolean(each.cleared);
         out.unsigned_integer(each.expires_in_ms);
+        out.array(each.crashes.size());
+        for (const auto& crash : each.crashes)
+        {
+            out.unsigned_integer(static_cast<std::uint32_t>(crash.start));
+        }
     }
 }
 
@@ -91,9 +96,10 @@
         out.array(each.crashes.size());
         for (const auto& crash : each.crashes)
         {
-            out.array(2);
-            out.unsigned_integer(static_cast<std::uint32_t>(crash.upstream));
+            out.array(3);
+            out.unsigned_integer(static_cast<std::uint32_t>(crash.fingerprint.upstream));
             out.integer(crash.age.count());
+            out.unsigned_integer(static_cast<std::uint32_t>(crash.fingerprint.start));
         }
         if (each.sound_age)
         {
--- a/src/libcaraway/routing/digest_decode.cpp
+++ b/src/libcaraway/routing/digest_decode.cpp
@@ -133,23 +133,45 @@
     return usages;
 }
 
+void read_starts(cbor_reader& in, std::vector<attempts::crash_fingerprint>& crashes)
+{
+    auto crash = crashes.begin();
+    read_items(in,
+               [&]
+               {
+                   const auto start = read_enum<attempts::start_fingerprint>(in);
+                   if (crash != crashes.end())
+                   {
+                       crash->start = start;
+                       ++crash;
+                   }
+               });
+}
+
+attempts::suspect_entry read_suspect(cbor_reader& in)
+{
+    constexpr std::uint64_t without_starts = 5;
+    constexpr std::uint64_t with_starts = 6;
+    const auto size = in.array(without_starts);
+    attempts::suspect_entry entry{.fingerprint = read_enum<attempts::request_fingerprint>(in)};
+    read_items(
+        in, [&]
+        { entry.crashes.push_back({.upstream = read_enum<attempts::upstream_fingerprint>(in)}); });
+    entry.ran_alone = in.boolean();
+    entry.cleared = in.boolean();
+    entry.expires_in_ms = in.integer<std::uint32_t>();
+    if (size >= with_starts)
+    {
+        read_starts(in, entry.crashes);
+    }
+    in.skip(size - (size >= with_starts ? with_starts : without_starts));
+    return entry;
+}
+
 std::vector<attempts::suspect_entry> read_suspects(cbor_reader& in)
 {
     std::vector<attempts::suspect_entry> suspects;
-    read_entries(
-        in, 5,
-        [&]
-        {
-            attempts::suspect_entry entry{.fingerprint =
-                                              read_enum<attempts::request_fingerprint>(in)};
-            read_items(
-                in,
-                [&] { entry.upstreams.push_back(read_enum<attempts::upstream_fingerprint>(in)); });
-            entry.ran_alone = in.boolean();
-            entry.cleared = in.boolean();
-            entry.expires_in_ms = in.integer<std::uint32_t>();
-            suspects.push_back(std::move(entry));
-        });
+    read_items(in, [&] { suspects.push_back(read_suspect(in)); });
     return suspects;
 }
 
@@ -160,19 +182,29 @@
     return refused;
 }
 
+parts::part_evidence::crash read_part_crash(cbor_reader& in)
+{
+    constexpr std::uint64_t without_start = 2;
+    constexpr std::uint64_t with_start = 3;
+    const auto size = in.array(without_start);
+    parts::part_evidence::crash crash{
+        .fingerprint = {.upstream = read_enum<attempts::upstream_fingerprint>(in)},
+        .age = read_milliseconds<std::uint32_t>(in)};
+    if (size >= with_start)
+    {
+        crash.fingerprint.start = read_enum<attempts::start_fingerprint>(in);
+    }
+    in.skip(size - (size >= with_start ? with_start : without_start));
+    return crash;
+}
+
 parts::part_evidence read_part_evidence(cbor_reader& in)
 {
     constexpr std::uint64_t without_sound_age = 2;
     constexpr std::uint64_t with_sound_age = 3;
     const auto size = in.array(without_sound_age);
     parts::part_evidence evidence{.part = read_enum<parts::part_fingerprint>(in)};
-    read_entries(in, 2,
-                 [&]
-                 {
-                     evidence.crashes.push_back(
-                         {.upstream = read_enum<attempts::upstream_fingerprint>(in),
-                          .age = read_milliseconds<std::uint32_t>(in)});
-                 });
+    read_items(in, [&] { evidence.crashes.push_back(read_part_crash(in)); });
     if (size >= with_sound_age)
     {
         evidence.sound_age = read_milliseconds<std::uint32_t>(in);
--- a/src/libcaraway/routing/parts/part_suspects.cpp
+++ b/src/libcaraway/routing/parts/part_suspects.cpp
@@ -72,14 +72,15 @@
            now < found.newest_crash + options_.refusal_duration;
 }
 
-void part_suspects::record_crash(const base::upstream_id& upstream, const part_fingerprints& parts,
-                                 base::time_point at, base::time_point now)
+void part_suspects::record_crash(const attempts::upstream_incarnation& upstream,
+                                 const part_fingerprints& parts, base::time_point at,
+                                 base::time_point now)
 {
     expire(now);
-    const auto id_hash = attempts::upstream_fingerprint_of(upstream);
+    const auto crash = attempts::fingerprint_of(upstream);
     for (const auto part : parts)
     {
-        add_crash(suspects_[part], id_hash, at);
+        add_crash(suspects_[part], crash, at);
     }
     evict_over_capacity();
     find_causes();
@@ -122,9 +123,9 @@
     {
         part_evidence evidence{.part = part};
         const auto& sent_crashes = is_cause(part) ? value.crashes : unexplained_.at(part);
-        for (const auto& [upstream, at] : sent_crashes)
+        for (const auto& [fingerprint, at] : sent_crashes)
         {
-            evidence.crashes.push_back({.upstream = upstream, .age = age_of(at, now)});
+            evidence.crashes.push_back({.fingerprint = fingerprint, .age = age_of(at, now)});
         }
         // Only what this router saw itself: passed on from router to router, it would seem younger
         // each time by the time on the way, and cancel crashes that came after it.
@@ -161,7 +162,7 @@
         }
         for (const auto& each : received.crashes)
         {
-            changed = add_crash(entry, each.upstream, now - each.age) || changed;
+            changed = add_crash(entry, each.fingerprint, now - each.age) || changed;
         }
     }
     expire(now);
@@ -173,20 +174,24 @@
 }
 
 /// Returns whether the crash is new and not cancelled by a later sound answer.
-bool part_suspects::add_crash(suspect& entry, attempts::upstream_fingerprint upstream,
+bool part_suspects::add_crash(suspect& entry, const attempts::crash_fingerprint& crash,
                               base::time_point at) const
 {
-    const auto known = entry.crashes.find(upstream);
-    if (known != entry.crashes.end())
+    if (const auto known = entry.crashes.find(crash); known != entry.crashes.end())
     {
         known->second = std::min(known->second, at);
         return false;
     }
+    if (attempts::contains_crash(entry.crashes, crash))
+    {
+        return false;
+    }
     if (entry.sound && at <= *entry.sound)
     {
         return false;
     }
-    entry.crashes.emplace(upstream, at);
+    attempts::remove_same_crash(entry.crashes, crash);
+    entry.crashes.emplace(crash, at);
     if (entry.crashes.size() <= options_.max_crashes)
     {
         return true;
@@ -194,7 +199,7 @@
     const auto oldest =
         std::min_element(entry.crashes.begin(), entry.crashes.end(),
                          [](const auto& a, const auto& b) { return a.second < b.second; });
-    const bool is_new = oldest->first != upstream;
+    const bool is_new = oldest->first != crash;
     entry.crashes.erase(oldest);
     return is_new;
 }
--- a/src/libcaraway/routing/parts/part_suspects.hpp
+++ b/src/libcaraway/routing/parts/part_suspects.hpp
@@ -27,7 +27,7 @@
 {
     struct crash
     {
-        attempts::upstream_fingerprint upstream{};
+        attempts::crash_fingerprint fingerprint{};
         std::chrono::milliseconds age{};
 
         friend bool operator==(const crash&, const crash&) = default;
@@ -96,8 +96,8 @@
 
     /// Records that an upstream crashed at `at`, when it had at most begun to answer requests with
     /// these parts.
-    void record_crash(const base::upstream_id& upstream, const part_fingerprints& parts,
-                      base::time_point at, base::time_point now);
+    void record_crash(const attempts::upstream_incarnation& upstream,
+                      const part_fingerprints& parts, base::time_point at, base::time_point now);
     /// Records that an answer to a request with these parts began at `began`, and went on.
     void record_sound(const part_fingerprints& parts, base::time_point began);
     /// Removes what has expired.
@@ -123,7 +123,7 @@
     bool is_refused(const cause& found, base::time_point now) const;
 
 private:
-    using crash_times = std::map<attempts::upstream_fingerprint, base::time_point>;
+    using crash_times = std::map<attempts::crash_fingerprint, base::time_point>;
     struct suspect
     {
         crash_times crashes;
@@ -133,7 +133,7 @@
     };
     using suspect_map = std::map<part_fingerprint, suspect>;
 
-    bool add_crash(suspect& entry, attempts::upstream_fingerprint upstream,
+    bool add_crash(suspect& entry, const attempts::crash_fingerprint& crash,
                    base::time_point at) const;
     static bool add_sound(suspect& entry, base::time_point began);
     base::time_point expiry(const suspect& entry) const;
--- a/tests/attempts/crash_test.cpp
+++ b/tests/attempts/crash_test.cpp
@@ -14,9 +14,9 @@
 
 using fingerprints = std::vector<request_fingerprint>;
 
-const base::upstream_id u1{"u1"};
-const base::upstream_id u2{"u2"};
-const base::upstream_id u3{"u3"};
+const upstream_incarnation u1{base::upstream_id("u1")};
+const upstream_incarnation u2{base::upstream_id("u2")};
+const upstream_incarnation u3{base::upstream_id("u3")};
 
 request_fingerprint request_with(const char* body)
 {
@@ -32,7 +32,8 @@
     base::manual_clock clock;
     crash_suspects here;
 
-    void crash(const base::upstream_id& upstream, const fingerprints& in_flight, bool alone = false)
+    void crash(const upstream_incarnation& upstream, const fingerprints& in_flight,
+               bool alone = false)
     {
         here.record_crash(upstream, in_flight, alone, clock.now());
     }
@@ -127,10 +128,10 @@
     BOOST_TEST(!here.begin_quarantine(neighbour));
     here.end_quarantine(culprit);
     BOOST_TEST(here.begin_quarantine(neighbour));
-    const auto first = here.quarantine_upstream(culprit, {u1, u2, u3});
-    BOOST_TEST((here.quarantine_upstream(neighbour, {u3, u2, u1}) == first));
-    crash(first.value(), {culprit});
-    BOOST_TEST((here.quarantine_upstream(culprit, {u1, u2, u3}) != first));
+    const auto first = here.quarantine_upstream(culprit, {u1.id, u2.id, u3.id});
+    BOOST_TEST((here.quarantine_upstream(neighbour, {u3.id, u2.id, u1.id}) == first));
+    crash({.id = first.value()}, {culprit});
+    BOOST_TEST((here.quarantine_upstream(culprit, {u1.id, u2.id, u3.id}) != first));
     BOOST_TEST(!here.quarantine_upstream(culprit, {}).has_value());
 }
 
@@ -184,8 +185,9 @@
                                   ? ids.front()
                                   : router.quarantine_upstream(culprit, ids).value();
         live.erase(upstream.str());
-        router.record_crash(upstream, {culprit, verdict == crash_verdict::run ? neighbour : other},
-                            false, clock.now());
+        router.record_crash({.id = upstream},
+                            {culprit, verdict == crash_verdict::run ? neighbour : other}, false,
+                            clock.now());
         for (auto& peer : routers)
         {
             peer.merge(router.entries(16, clock.now()), clock.now());
@@ -267,6 +269,26 @@
     BOOST_TEST(detector.record_connection_lost(u2, culprit, clock.now()).has_value());
 }
 
+// Guards against memory that grows with each upstream that ever refused a connection.
+BOOST_AUTO_TEST_CASE(what_is_too_old_to_be_matched_is_evicted)
+{
+    detector.record_unreachable(u2, clock.now());
+    detector.record_started(u3, culprit);
+    detector.record_connection_lost(u3, culprit, clock.now());
+    for (const auto fingerprint : {culprit, neighbour, other})
+    {
+        detector.record_ended(u1, fingerprint);
+    }
+
+    clock.advance(crash_detector_options{}.loss_retention - std::chrono::milliseconds(1));
+    detector.expire(clock.now());
+    BOOST_TEST(detector.size() == 2U);
+
+    clock.advance(std::chrono::milliseconds(1));
+    detector.expire(clock.now());
+    BOOST_TEST(detector.size() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace caraway::attempts
--- a/tests/routing/test_digest_format.cpp
+++ b/tests/routing/test_digest_format.cpp
@@ -56,15 +56,18 @@
 
 json document_of(const std::vector<attempts::suspect_entry>& suspects)
 {
-    return array_of(suspects,
-                    [](const auto& each)
-                    {
-                        const auto marks =
-                            array_of(each.upstreams, [](auto mark)
-                                     { return json(static_cast<std::uint32_t>(mark)); });
-                        return json::array({static_cast<std::uint64_t>(each.fingerprint), marks,
-                                            each.ran_alone, each.cleared, each.expires_in_ms});
-                    });
+    return array_of(
+        suspects,
+        [](const auto& each)
+        {
+            const auto upstreams =
+                array_of(each.crashes, [](const auto& crash)
+                         { return json(static_cast<std::uint32_t>(crash.upstream)); });
+            const auto starts = array_of(each.crashes, [](const auto& crash)
+                                         { return json(static_cast<std::uint32_t>(crash.start)); });
+            return json::array({static_cast<std::uint64_t>(each.fingerprint), upstreams,
+                                each.ran_alone, each.cleared, each.expires_in_ms, starts});
+        });
 }
 
 json document_of(const std::vector<parts::part_evidence>& suspected)
@@ -74,9 +77,12 @@
                     {
                         const auto crashes = array_of(
                             each.crashes,
-                            [](const auto& crash) {
-                                return json::array({static_cast<std::uint32_t>(crash.upstream),
-                                                    crash.age.count()});
+                            [](const auto& crash)
+                            {
+                                const auto& mark = crash.fingerprint;
+                                return json::array({static_cast<std::uint32_t>(mark.upstream),
+                                                    crash.age.count(),
+                                                    static_cast<std::uint32_t>(mark.start)});
                             });
                         auto out = json::array({static_cast<std::uint64_t>(each.part), crashes});
                         if (each.sound_age)
@@ -218,13 +224,19 @@
         }
     }
 
+    attempts::crash_fingerprint crash()
+    {
+        return {.upstream = attempts::upstream_fingerprint{small_number()},
+                .start = attempts::start_fingerprint{small_number()}};
+    }
+
     attempts::suspect_entry suspect()
     {
         attempts::suspect_entry entry{.fingerprint = attempts::request_fingerprint{number()},
                                       .ran_alone = coin(),
                                       .cleared = coin(),
                                       .expires_in_ms = small_number()};
-        repeat([&] { entry.upstreams.push_back(attempts::upstream_fingerprint{small_number()}); });
+        repeat([&] { entry.crashes.push_back(crash()); });
         return entry;
     }
 
@@ -235,8 +247,7 @@
             [&]
             {
                 evidence.crashes.push_back(
-                    {.upstream = attempts::upstream_fingerprint{small_number()},
-                     .age = std::chrono::milliseconds(small_number())});
+                    {.fingerprint = crash(), .age = std::chrono::milliseconds(small_number())});
             });
         if (coin())
         {
@@ -385,6 +396,30 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(crashes_of_earlier_routers_lack_the_starts_of_processes)
+{
+    const attempts::crash_fingerprint crash{.upstream = attempts::upstream_fingerprint{7},
+                                            .start = attempts::start_fingerprint{9}};
+    digest message{.sender = base::node_id("r1")};
+    message.suspects.push_back({.crashes = {crash}, .expires_in_ms = 5});
+    message.suspected_parts.push_back({.crashes = {{.fingerprint = crash, .age = 3ms}}});
+    constexpr std::size_t suspects = 15;
+    constexpr std::size_t suspected_parts = 22;
+    auto fields = document_of(message);
+    fields.at(suspects).at(0).erase(5);
+    fields.at(suspected_parts).at(0).at(1).at(0).erase(2);
+
+    const auto received = decode(bytes_of(fields));
+
+    BOOST_REQUIRE(received.has_value());
+    auto expected = crash;
+    expected.start = attempts::start_fingerprint::unknown;
+    BOOST_TEST((received.value().suspects.at(0).crashes == std::vector{expected}));
+    const auto& part = received.value().suspected_parts.at(0);
+    BOOST_TEST((part.crashes.at(0).fingerprint == expected));
+    BOOST_TEST((part.crashes.at(0).age == 3ms));
+}
+
 BOOST_AUTO_TEST_CASE(fields_of_later_routers_are_ignored)
 {
     const auto message = full_digest();
--- a/tests/routing/test_part_suspects.cpp
+++ b/tests/routing/test_part_suspects.cpp
@@ -21,9 +21,10 @@
 constexpr part_fingerprint document{4};
 constexpr std::size_t crashes_until_refused = part_suspect_options{}.min_crashes;
 
-base::upstream_id make_upstream(int number)
+attempts::upstream_incarnation make_upstream(int number,
+                                             std::chrono::milliseconds process_start = 0ms)
 {
-    return base::upstream_id("u" + std::to_string(number));
+    return {.id = base::upstream_id("u" + std::to_string(number)), .process_start = process_start};
 }
 
 part_fingerprint rare_part(int number)
@@ -270,12 +271,26 @@
     BOOST_TEST(refuses({crashing}, 2));
 }
 
+// Guards against a part that crashes the few upstreams of a service again and again: each starts
+// again under its id, and only its first crash counts.
+BOOST_AUTO_TEST_CASE(each_process_under_one_id_counts)
+{
+    for (std::size_t count = 1; count <= crashes_until_refused; ++count)
+    {
+        now += 500ms;
+        BOOST_TEST(!refuses({crashing}));
+        here().record_crash(make_upstream(1, std::chrono::seconds(count)), {crashing}, now, now);
+    }
+
+    BOOST_TEST(refuses({crashing}));
+}
+
 // The peer's crashes and its sound answer arrive in one digest, in which the answer is younger.
 BOOST_AUTO_TEST_CASE(a_part_of_which_only_a_sound_answer_is_left_can_be_told_to_others)
 {
     const std::vector<part_evidence> received{
         {.part = document,
-         .crashes = {{.upstream = attempts::upstream_fingerprint{1}, .age = 500ms}},
+         .crashes = {{.fingerprint = {attempts::upstream_fingerprint{1}}, .age = 500ms}},
          .sound_age = 100ms}};
     here().merge(received, now);
 
--- a/tests/users_platform/stand_in_runner.cpp
+++ b/tests/users_platform/stand_in_runner.cpp
@@ -36,6 +36,10 @@
     {
         row_value["warmup_left_ms"] = *warmup_left_ms;
     }
+    if (process_start)
+    {
+        row_value["born"] = *process_start;
+    }
     return row_value.dump();
 }
 
--- a/tests/users_platform/stand_in_runner.hpp
+++ b/tests/users_platform/stand_in_runner.hpp
@@ -44,6 +44,8 @@
     /// Version of its software.
     std::string software = "v1";
     std::optional<int> warmup_left_ms;
+    /// When its process started, in ms since the epoch; the entry lacks it if it is empty.
+    std::optional<std::int64_t> process_start;
     /// All answers say that the runner is shutting down.
     bool leaving = false;
     std::deque<behaviour> next_behaviours;
