Upstreams: an outage too short for entries to expire defers no removal

Cause: a call without an answer counts as an outage, after which removals wait 2.3 s since entries may have expired. The log shows the removal known 0.7 s after it and put off on purpose. Entries take three heartbeats of silence to expire; this outage was 1.5 s long.

Change: the directory knows the last contact with the store, its own or by a router of its zone, and the heartbeat (heartbeat_ms of the settings; unknown: as before). Shorter than 1.75 heartbeats, nothing is deferred. An outage within the grace of another defers as before. Logged: store_outage_over.

Ruled out: order of updates; a late notice of the silence (0.9 s).

--- a/src/libcaraway/router/daemon.hpp
+++ b/src/libcaraway/router/daemon.hpp
@@ -141,6 +141,8 @@
     /// Drops upstreams whose removal was delayed during an outage of the store, once no update can
     /// restore them.
     void drop_expired_upstreams(base::time_point now);
+    void record_store_lost();
+    void record_store_recovered();
     /// Removes the upstream whose table entry can't be decoded.
     void discard_unreadable(const row& upstream_row, const base::error& error);
     void apply_router_rows(const std::vector<row>& rows);
--- a/src/libcaraway/router/daemon_peers.cpp
+++ b/src/libcaraway/router/daemon_peers.cpp
@@ -86,6 +86,7 @@
         relay_.record_store_unreachable(now);
     }
     relay_.set_leaving_notice(core_.options.leaving_notice);
+    core_.directory.set_heartbeat(core_.options.heartbeat);
     const auto own_state = tables();
     relay_.set_own_state(core_.options.capacity, own_state, has_tables(), now);
     announce_changes(own_state.content_hash);
--- a/src/libcaraway/router/daemon_tables.cpp
+++ b/src/libcaraway/router/daemon_tables.cpp
@@ -64,16 +64,16 @@
     upstreams_ = std::make_unique<table_sync>(
         "upstreams", core_.timers, core_.log, platform.upstreams,
         routing::follower_options{.gap = upstreams_gap},
-        table_sync::events{
-            .all = [this](const rows_answer& answer)
-            { apply_upstreams(answer.rows, answer.revision, "store"); },
-            .changed = [this](const auto& rows) { apply_upstreams(rows, std::nullopt, "store"); },
-            .unreachable = [this] { core_.directory.record_store_lost(core_.now()); },
-            .recovered =
-                [this]
-            {
-                core_.directory.record_store_recovered(core_.now());
-            }});
+        table_sync::events{.all = [this](const rows_answer& answer)
+                           { apply_upstreams(answer.rows, answer.revision, "store"); },
+                           .changed = [this](const auto& rows)
+                           { apply_upstreams(rows, std::nullopt, "store"); },
+                           .unreachable = [this] { record_store_lost(); },
+                           .recovered =
+                               [this]
+                           {
+                               record_store_recovered();
+                           }});
     if (!core_.options.seeds.empty() && !is_seed())
     {
         relay_.wait_for_peers(core_.now());
@@ -86,6 +86,20 @@
     upstreams_->start();
 }
 
+void daemon::record_store_lost()
+{
+    const auto now = core_.now();
+    const auto last_confirmed = now - relay_.unconfirmed_for(now);
+    core_.directory.record_store_lost(now, std::max(upstreams_->last_answer(), last_confirmed));
+}
+
+void daemon::record_store_recovered()
+{
+    core_.log.line("store_outage_over",
+                   {{"entries_may_have_expired", core_.directory.may_have_expired(core_.now())}});
+    core_.directory.record_store_recovered(core_.now());
+}
+
 void daemon::sync_routers_table(base::time_point now)
 {
     const bool is_read_due = now >= next_routers_read_;
--- a/src/libcaraway/router/settings.hpp
+++ b/src/libcaraway/router/settings.hpp
@@ -40,6 +40,9 @@
     /// How long an upstream that is leaving continues to serve requests; all routers must know
     /// within this time that the upstream leaves.
     std::chrono::milliseconds leaving_notice{2000};
+    /// How often upstreams write their entries, which expire after three such intervals of silence;
+    /// 0 if unknown.
+    std::chrono::milliseconds heartbeat{0};
     /// An engine crashes if its requests need more memory than it has.
     bool engines_crash_out_of_memory = false;
     /// Maximum time that callers cache a list of entry points.
--- a/src/libcaraway/router/settings_change.cpp
+++ b/src/libcaraway/router/settings_change.cpp
@@ -48,6 +48,7 @@
     apply(current.share_window, next.share_window, "share_window");
     apply(current.grace, next.grace, "grace");
     apply(current.leaving_notice, next.leaving_notice, "leaving_notice");
+    apply(current.heartbeat, next.heartbeat, "heartbeat");
     apply(current.entry_lifetime, next.entry_lifetime, "entry_lifetime");
     apply(current.capacity, next.capacity, "capacity");
     return change;
--- a/src/libcaraway/routing/upstream_directory.cpp
+++ b/src/libcaraway/routing/upstream_directory.cpp
@@ -8,6 +8,16 @@
 namespace caraway::routing
 {
 
+namespace
+{
+
+/// Heartbeats from the last contact with the store until the first entry can expire: three, less
+/// one that may have passed since the entry was written, less a quarter as upstreams write only
+/// about that often.
+constexpr double shortest_expiry_heartbeats = 1.75;
+
+}  // namespace
+
 upstream_directory::upstream_directory(directory_options options) : options_(options) {}
 
 upstream_directory::change upstream_directory::put(const upstream& entry, const update_stamp& stamp)
@@ -84,13 +94,15 @@
     return removed;
 }
 
-void upstream_directory::record_store_lost(base::time_point now)
+void upstream_directory::record_store_lost(base::time_point now, base::time_point last_contact)
 {
-    if (!store_lost_)
+    if (store_lost_)
     {
-        store_lost_since_ = now;
+        return;
     }
     store_lost_ = true;
+    store_lost_since_ = now;
+    last_contact_ = last_contact;
 }
 
 void upstream_directory::record_store_recovered(base::time_point now)
@@ -100,7 +112,17 @@
         return;
     }
     store_lost_ = false;
-    grace_until_ = now + options_.recovery_grace;
+    if (may_have_expired(now))
+    {
+        grace_until_ = now + options_.recovery_grace;
+    }
+}
+
+bool upstream_directory::may_have_expired(base::time_point end) const
+{
+    // Upstreams may not have registered again yet since an outage before.
+    const bool follows_outage = last_contact_ < grace_until_;
+    return follows_outage || end - last_contact_ >= shortest_expiry_heartbeats * heartbeat_;
 }
 
 std::vector<base::upstream_id> upstream_directory::cancel_grace(base::time_point now)
--- a/src/libcaraway/routing/upstream_directory.hpp
+++ b/src/libcaraway/routing/upstream_directory.hpp
@@ -65,9 +65,10 @@
 
 struct directory_options
 {
-    /// How long removals are deferred after an outage of the platform's store. By the platform's
-    /// contract, live upstreams whose entries expired during the outage register again within two
-    /// seconds of its end; the rest allows for transmission.
+    /// How long removals are deferred after an outage of the platform's store in which entries of
+    /// live upstreams may have expired. By the platform's contract, live upstreams whose entries
+    /// expired during the outage register again within two seconds of its end; the rest allows for
+    /// transmission.
     std::chrono::milliseconds recovery_grace{2300};
     /// How long peers are told of a leaving upstream: several digest periods of the largest fleets.
     std::chrono::milliseconds leaving_retention{4000};
@@ -83,6 +84,9 @@
 /// would have no upstreams left. Removals received during an outage, or within `recovery_grace` of
 /// its end, are therefore deferred until the grace period is over.
 ///
+/// A call without an answer also counts as an outage, though only its connection may have been
+/// dead. An outage that was shorter than entries need to expire defers nothing.
+///
 /// Updates arrive from the store and from peers, possibly out of order: an answer may be delayed in
 /// a busy router while a peer's newer copy is applied, a peer's copy may be stale, and an answer
 /// after an outage repeats the changes made during it. Applied in order of arrival, a stale update
@@ -121,8 +125,18 @@
     std::vector<base::upstream_id> remove_unlisted(const std::set<base::upstream_id>& listed,
                                                    const update_stamp& stamp);
 
-    void record_store_lost(base::time_point now);
+    /// Sets how often live upstreams write their entries; 0 if unknown. An entry expires after
+    /// three such intervals of silence.
+    void set_heartbeat(std::chrono::milliseconds interval)
+    {
+        heartbeat_ = interval;
+    }
+    /// `last_contact`: the store was reachable then, for this router or a peer.
+    void record_store_lost(base::time_point now, base::time_point last_contact);
     void record_store_recovered(base::time_point now);
+    /// Whether entries of live upstreams may have expired in the current or last outage, if it ends
+    /// or ended at `end`.
+    bool may_have_expired(base::time_point end) const;
     /// Ends the grace period and applies the deferred removals, which it returns. For the case that
     /// a peer has reached the store throughout: then only this router was cut off, upstreams could
     /// refresh their entries, and missing entries belong to upstreams that have left.
@@ -227,6 +241,8 @@
     std::map<base::upstream_id, bool> deferred_removals_;
     bool store_lost_ = false;
     base::time_point store_lost_since_{};
+    base::time_point last_contact_{};
+    std::chrono::milliseconds heartbeat_{};
     base::time_point grace_until_{};
 };
 
--- a/tests/routing/test_upstream_directory.cpp
+++ b/tests/routing/test_upstream_directory.cpp
@@ -62,7 +62,7 @@
     upstream_directory directory({.recovery_grace = 2300ms});
     directory.put(make_upstream("a"), next_stamp());
     directory.put(make_upstream("b"), next_stamp());
-    directory.record_store_lost(start() - 5s);
+    directory.record_store_lost(start() - 5s, start() - 5s);
     directory.record_store_recovered(start());
 
     directory.remove_unlisted({}, next_stamp());
@@ -75,11 +75,63 @@
     BOOST_TEST(directory.usable(engines).front()->id.str() == "a");
 }
 
+// Guards against requests to an upstream 3 s after it left: a connection to the store fell silent
+// just then, and the removal was deferred as if entries might have expired meanwhile.
+BOOST_AUTO_TEST_CASE(removals_apply_at_once_after_an_outage_in_which_no_entry_can_have_expired)
+{
+    upstream_directory directory({.recovery_grace = 2300ms});
+    directory.set_heartbeat(1200ms);
+    directory.put(make_upstream("a"), next_stamp());
+    directory.put(make_upstream("b"), next_stamp());
+    directory.record_store_lost(start() - 100ms, start() - 1600ms);
+    directory.remove(base::upstream_id("a"), next_stamp(start() - 50ms));
+    BOOST_TEST(directory.usable(engines).size() == 2);
+    directory.record_store_recovered(start());
+
+    directory.remove(base::upstream_id("b"), next_stamp(start()));
+    directory.expire(start());
+
+    BOOST_TEST(directory.usable(engines).empty());
+}
+
+// An entry expires three heartbeats after it was written, up to one and a quarter of them before
+// the outage.
+BOOST_AUTO_TEST_CASE(removals_are_deferred_after_an_outage_in_which_an_entry_can_have_expired)
+{
+    upstream_directory directory({.recovery_grace = 2300ms});
+    directory.set_heartbeat(1200ms);
+    directory.put(make_upstream("a"), next_stamp());
+    directory.record_store_lost(start() - 100ms, start() - 2100ms);
+    directory.record_store_recovered(start());
+
+    directory.remove(base::upstream_id("a"), next_stamp(start()));
+    directory.expire(start() + 2299ms);
+
+    BOOST_TEST(directory.usable(engines).size() == 1);
+}
+
+// Upstreams whose entries expired in the first outage couldn't register again in the second.
+BOOST_AUTO_TEST_CASE(a_short_outage_soon_after_a_long_one_defers_removals)
+{
+    upstream_directory directory({.recovery_grace = 2300ms});
+    directory.set_heartbeat(1200ms);
+    directory.put(make_upstream("a"), next_stamp());
+    directory.record_store_lost(start() - 9s, start() - 10s);
+    directory.record_store_recovered(start() - 3s);
+    directory.remove(base::upstream_id("a"), next_stamp(start() - 3s));
+    directory.record_store_lost(start() - 2s, start() - 3s);
+    directory.record_store_recovered(start() - 1500ms);
+
+    directory.expire(start());
+
+    BOOST_TEST(directory.usable(engines).size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_entry_is_removed_at_once_in_the_grace_period)
 {
     upstream_directory directory;
     directory.put(make_upstream("a", true), next_stamp());
-    directory.record_store_lost(start() - 5s);
+    directory.record_store_lost(start() - 5s, start() - 5s);
     directory.record_store_recovered(start());
 
     directory.remove(base::upstream_id("a"), next_stamp(start() + 1ms));
@@ -91,7 +143,7 @@
 {
     upstream_directory directory;
     directory.put(make_upstream("a"), next_stamp());
-    directory.record_store_lost(start() - 5s);
+    directory.record_store_lost(start() - 5s, start() - 5s);
 
     directory.discard(base::upstream_id("a"));
 
@@ -106,7 +158,7 @@
 {
     upstream_directory directory;
     directory.put(make_upstream("a"), next_stamp());
-    directory.record_store_lost(start() - 8s);
+    directory.record_store_lost(start() - 8s, start() - 8s);
     BOOST_TEST(!directory.deferring_outage_start().has_value());
     directory.record_store_recovered(start());
     directory.remove(base::upstream_id("a"), next_stamp(start()));
@@ -226,7 +278,7 @@
 {
     upstream_directory directory({.recovery_grace = 2300ms});
     directory.put(make_upstream("a"), {.revision = 5, .received = start()});
-    directory.record_store_lost(start() - 5s);
+    directory.record_store_lost(start() - 5s, start() - 5s);
     directory.record_store_recovered(start());
     directory.remove(base::upstream_id("a"), {.revision = 8, .received = start()});
 
@@ -295,7 +347,7 @@
     upstream_directory directory;
     directory.put(make_upstream("a"), next_stamp());
     directory.record_announced_leaving(base::upstream_id("a"), start());
-    directory.record_store_lost(start());
+    directory.record_store_lost(start(), start());
 
     directory.remove(base::upstream_id("a"), next_stamp(start() + 1ms));
 
--- a/tests/users_platform/router_fixture.cpp
+++ b/tests/users_platform/router_fixture.cpp
@@ -126,7 +126,8 @@
                                    .seeds = seeds,
                                    .first_start = bootstrap,
                                    .retries = {.ratio = 0.2, .slack = 50},
-                                   .grace = std::chrono::milliseconds(4000)};
+                                   .grace = std::chrono::milliseconds(4000),
+                                   .heartbeat = heartbeat};
     changed_settings = options;
     routers.push_back(std::make_unique<router::daemon>(
         loop, *router_clock, options, platform::caller_protocol(),
--- a/tests/users_platform/router_fixture.hpp
+++ b/tests/users_platform/router_fixture.hpp
@@ -72,6 +72,8 @@
     std::vector<std::string> log_lines;
     caraway::telemetry::line_log log;
     std::vector<caraway::routing::endpoint> seeds;
+    /// How often routers started from now on take runners to write their entries.
+    std::chrono::milliseconds heartbeat{0};
     /// Routers started from now on are told that no router has served before.
     bool bootstrap = false;
     /// Result of reading the settings file again; initially the settings of the router started
--- a/tests/users_platform/stand_in_store.cpp
+++ b/tests/users_platform/stand_in_store.cpp
@@ -205,6 +205,18 @@
                   });
 }
 
+bool stand_in_store::holds_call(const std::string& table) const
+{
+    return std::any_of(waiters_.begin(), waiters_.end(),
+                       [&](const auto& held) { return held.table == table; });
+}
+
+void stand_in_store::silence_held_calls()
+{
+    std::move(waiters_.begin(), waiters_.end(), std::back_inserter(silenced_));
+    waiters_.clear();
+}
+
 void stand_in_store::answer_transaction(const std::shared_ptr<http::exchange>& request)
 {
     const auto body = json::parse(request->body());
--- a/tests/users_platform/stand_in_store.hpp
+++ b/tests/users_platform/stand_in_store.hpp
@@ -27,6 +27,11 @@
     /// Replaces the content by that of the other store, to model a delayed view of one store.
     void copy_from(const stand_in_store& other);
     bool has_row(const std::string& table, const std::string& key) const;
+    /// Whether a call for changes of the table is waiting for them.
+    bool holds_call(const std::string& table) const;
+    /// The connections of the calls that are being held fall silent: they are never answered. New
+    /// connections work.
+    void silence_held_calls();
     /// Discards the changes so far; following from before them is answered with 410.
     void discard_history();
 
@@ -89,6 +94,7 @@
     std::uint64_t version_ = 0;
     std::uint64_t discarded_up_to_ = 0;
     std::vector<waiter> waiters_;
+    std::vector<waiter> silenced_;
 };
 
 }  // namespace users_platform_tests
--- a/tests/users_platform/test_tables.cpp
+++ b/tests/users_platform/test_tables.cpp
@@ -99,6 +99,42 @@
     BOOST_TEST(becomes_true([&] { return usable_upstreams(router).empty(); }));
 }
 
+// Guards against requests to a runner for three seconds after it left: the connection to the store
+// fell silent just then, which the router took for an outage of the store.
+BOOST_AUTO_TEST_CASE(
+    a_runner_that_leaves_while_the_connection_is_silent_is_used_no_longer_than_it_serves)
+{
+    heartbeat = std::chrono::milliseconds(1200);
+    add_upstream(second);
+    auto& router = start_router();
+    BOOST_REQUIRE(becomes_true([&] { return usable_upstreams(router) == "i-1 i-2 "; }));
+    BOOST_REQUIRE(becomes_true([&] { return store.holds_call("servers"); }));
+    store.silence_held_calls();
+    store.remove("servers", "i-1");
+    const auto accepted = clock.now();
+
+    BOOST_TEST(becomes_true([&] { return usable_upstreams(router) == "i-2 "; }));
+
+    BOOST_TEST((clock.now() - accepted < router.options().leaving_notice));
+    BOOST_TEST(logged({"store_lost", "upstreams"}));
+}
+
+// The same as a true outage, as long as a silent connection takes to be noticed.
+BOOST_AUTO_TEST_CASE(entries_that_can_have_expired_in_an_outage_are_still_used_at_first)
+{
+    heartbeat = std::chrono::milliseconds(600);
+    auto& router = start_router();
+    store.unresponsive = true;
+    BOOST_REQUIRE(becomes_true([&] { return logged({"store_lost", "upstreams"}); }));
+    store.remove("servers", "i-1");
+    store.unresponsive = false;
+    BOOST_REQUIRE(becomes_true([&] { return logged({"store_back", "upstreams"}); }));
+
+    BOOST_TEST(receives_status(send_request(router, "/a/", "id-1"), "200"));
+    BOOST_TEST(usable_upstreams(router) == "i-1 ");
+    BOOST_TEST(becomes_true([&] { return usable_upstreams(router).empty(); }));
+}
+
 // Guards against a router that starts while the store is unavailable and serves no request until
 // the store recovers.
 BOOST_AUTO_TEST_CASE(a_starting_router_gets_tables_from_a_peer_while_the_store_is_unavailable)
