HTTP: an answer without a length is whole only once the request is written

Cause: a socket tells a reset once. The write took it, and the read saw an orderly end, which completes an answer without a length.

Change: such an end waits for the write; a failed write cuts the answer off.

Ruled out: taking the end for a cut whenever the upload isn't written, as a server may answer early, shut down its side and read on.

Result: http/client_connections, 19 of 20 calls took the part for the whole before and none does now; a reset after the server's orderly end failed before; the early answer whose server reads on passes before and now.

--- a/src/libcaraway/http/client_connection.cpp
+++ b/src/libcaraway/http/client_connection.cpp
@@ -71,6 +71,8 @@
     call_in_progress_ = true;
     write_started_ = false;
     write_completed_ = false;
+    write_failed_ = false;
+    stream_ended_ = false;
     start_parser();
     if (open_)
     {
@@ -160,12 +162,22 @@
     boost::asio::async_write(socket_, message,
                              [self = shared_from_this()](const auto& error, std::size_t)
                              {
-                                 // A failed write makes the read fail too, after any answer that
-                                 // the server sent before it had received the whole request.
                                  self->write_completed_ = !error;
+                                 self->write_failed_ = static_cast<bool>(error);
+                                 self->on_write_over();
                              });
 }
 
+void client_connection::on_write_over()
+{
+    // Whatever ended the write ends the read too, after any answer that the server sent before it
+    // had received the whole request.
+    if (stream_ended_ && call_in_progress_)
+    {
+        end_with_stream();
+    }
+}
+
 void client_connection::read()
 {
     if (read_pending_ || closed_)
@@ -371,19 +383,35 @@
         close();
         return;
     }
-    // An answer without a length is complete at an orderly close, but not after a reset.
-    if (error == boost::asio::error::eof && head_seen_ && !skipping_ && parser_->need_eof())
+    if (error != boost::asio::error::eof || !head_seen_ || skipping_ || !parser_->need_eof())
+    {
+        fail();
+        return;
+    }
+    stream_ended_ = true;
+    // A reset is told to the first operation that meets it. If that was the write, the end of the
+    // stream looks orderly here, so what becomes of a write in progress is waited for.
+    if (write_completed_ || write_failed_)
+    {
+        end_with_stream();
+    }
+}
+
+/// An answer without a length is complete at an orderly close, but not after a reset.
+void client_connection::end_with_stream()
+{
+    boost::system::error_code unfinished;
+    if (!write_failed_)
     {
-        boost::system::error_code unfinished;
         parser_->put_eof(unfinished);
-        if (!unfinished && parser_->is_done())
-        {
-            deliver_body();
-            complete();
-            return;
-        }
     }
-    fail();
+    if (write_failed_ || unfinished || !parser_->is_done())
+    {
+        fail();
+        return;
+    }
+    deliver_body();
+    complete();
 }
 
 void client_connection::fail()
--- a/src/libcaraway/http/client_connection.hpp
+++ b/src/libcaraway/http/client_connection.hpp
@@ -54,6 +54,9 @@
 /// An answer that doesn't belong to the call in progress is skipped entirely: an upstream may send
 /// a late duplicate answer to an earlier call in place of the next answer, and accepting it would
 /// deliver one caller's answer to another. Bytes received between calls close the connection.
+///
+/// An answer without a length ends with its connection. It ends only once the request is written:
+/// a server that answers early and reads on is waited for, one that resets has not answered.
 class client_connection : public std::enable_shared_from_this<client_connection>
 {
 public:
@@ -113,7 +116,9 @@
     void process_head();
     void deliver_body();
     void complete();
+    void on_write_over();
     void on_end_of_stream(const boost::system::error_code& error);
+    void end_with_stream();
     void fail();
     void fail(call_failure failure);
 
@@ -141,6 +146,9 @@
     bool refused_ = false;
     bool write_started_ = false;
     bool write_completed_ = false;
+    bool write_failed_ = false;
+    /// The server has ended its bytes, and with them an answer without a length.
+    bool stream_ended_ = false;
     bool head_seen_ = false;
     bool skipping_ = false;
     bool read_pending_ = false;
--- a/tests/http/loop_fixture.hpp
+++ b/tests/http/loop_fixture.hpp
@@ -79,6 +79,13 @@
         socket_.close(ignored);
     }
 
+    /// Ends the sent bytes; received ones are read on.
+    void shut_down_sending()
+    {
+        boost::system::error_code ignored;
+        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
     void reset()
     {
         boost::system::error_code ignored;
--- a/tests/http/test_client_connection.cpp
+++ b/tests/http/test_client_connection.cpp
@@ -50,6 +50,34 @@
         return result;
     }
 
+    /// A call with an upload that takes its server many reads.
+    std::shared_ptr<outcome> call_with_upload()
+    {
+        auto result = std::make_shared<outcome>();
+        const std::string body(8U << 20U, 'b');
+        connection->call(
+            {.ip = "127.0.0.1", .port = server.port()},
+            "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) +
+                "\r\n\r\n" + body,
+            false,
+            {.head = [=](const http::answer_head& head) { result->status = head.result_int(); },
+             .body = [=](std::string_view part) { result->body += part; },
+             .end = [=] { result->ended = true; },
+             .failed =
+                 [=](http::call_failure failure)
+             {
+                 result->failure = failure;
+             }});
+        return result;
+    }
+
+    /// The server's end of the connection, as soon as it is open.
+    std::shared_ptr<http_tests::raw_peer> wait_for_connection()
+    {
+        BOOST_REQUIRE(becomes_true([&] { return !server.peers.empty(); }));
+        return server.peers.back();
+    }
+
     /// Waits until the server has received `requests` requests; returns its end of the connection.
     std::shared_ptr<http_tests::raw_peer> wait_for_requests(std::size_t requests = 1)
     {
@@ -213,6 +241,50 @@
     BOOST_TEST((only->failure == http::call_failure::truncated_answer));
 }
 
+// Guards against delivering half an answer as complete. The connection of an answer without a
+// length was reset while the request was still being written: the write took the socket's error,
+// and the read saw an orderly end.
+BOOST_AUTO_TEST_CASE(an_answer_without_length_is_truncated_by_a_reset_during_the_upload)
+{
+    for (int repeat = 0; repeat < 20; ++repeat)
+    {
+        server.peers.clear();
+        connection = std::make_shared<http::client_connection>(loop, timers);
+        const auto only = call_with_upload();
+        const auto end = wait_for_connection();
+        end->send("HTTP/1.1 200 OK\r\n\r\nhalf");
+        end->reset();
+
+        BOOST_REQUIRE(becomes_true([&] { return only->is_over(); }));
+        BOOST_TEST(!only->ended);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_without_length_is_truncated_by_a_reset_after_its_end)
+{
+    const auto only = call_with_upload();
+    const auto end = wait_for_connection();
+    end->send("HTTP/1.1 200 OK\r\n\r\nhalf");
+    end->shut_down_sending();
+    BOOST_REQUIRE(becomes_true([&] { return only->body == "half"; }));
+    end->reset();
+
+    BOOST_REQUIRE(becomes_true([&] { return only->is_over(); }));
+    BOOST_TEST((only->failure == http::call_failure::truncated_answer));
+}
+
+BOOST_AUTO_TEST_CASE(an_early_answer_without_length_is_whole_if_its_server_reads_on)
+{
+    const auto only = call_with_upload();
+    const auto end = wait_for_connection();
+    end->send("HTTP/1.1 200 OK\r\n\r\nwhole");
+    end->shut_down_sending();
+
+    BOOST_REQUIRE(becomes_true([&] { return only->is_over(); }));
+    BOOST_TEST(only->ended);
+    BOOST_TEST(only->body == "whole");
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_shorter_than_its_length_is_truncated)
 {
     const auto only = call("1");
