Crashes: comparisons as the linter reads them

The linter of Debian 12 takes a defaulted three-way comparison that is used in a map for a null pointer; written as == and <, as in the rest of the library. No change of behaviour; attempts and routing pass.

--- a/src/libcaraway/attempts/upstream_incarnation.hpp
+++ b/src/libcaraway/attempts/upstream_incarnation.hpp
@@ -3,8 +3,8 @@
 #include "libcaraway/base/ids.hpp"
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace caraway::attempts
 {
@@ -16,7 +16,11 @@
     /// When the process started, by the upstream's clock, since the epoch; 0 if unknown.
     std::chrono::milliseconds process_start{};
 
-    friend auto operator<=>(const upstream_incarnation&, const upstream_incarnation&) = default;
+    friend bool operator==(const upstream_incarnation&, const upstream_incarnation&) = default;
+    friend bool operator<(const upstream_incarnation& a, const upstream_incarnation& b)
+    {
+        return std::tie(a.id, a.process_start) < std::tie(b.id, b.process_start);
+    }
 };
 
 /// Short hash of an upstream id.
@@ -42,7 +46,11 @@
     /// it.
     start_fingerprint start{};
 
-    friend auto operator<=>(const crash_fingerprint&, const crash_fingerprint&) = default;
+    friend bool operator==(const crash_fingerprint&, const crash_fingerprint&) = default;
+    friend bool operator<(const crash_fingerprint& a, const crash_fingerprint& b)
+    {
+        return std::tie(a.upstream, a.start) < std::tie(b.upstream, b.start);
+    }
 };
 
 crash_fingerprint fingerprint_of(const upstream_incarnation& crashed);
