Stop: what is under way at the end of the grace gets an answer

Callers saw: connections closed without an answer, at the end of a planned stop for requests that take longer and for bodies on their way, and within a tenth of a second for connections opened during it.

Cause: the end of the grace ended the process and not its requests; a refusal waited for a whole request; new connections counted as idle.

Change: half a second before SIGKILL requests that wait or are in flight get what is true (502 or 503); from 3 s after SIGTERM on a request of which a part has arrived is refused; a new connection has a second for its first request.

Result: planned_stop, three cases on a real process, failed before and pass.

--- a/src/libcaraway/http/listener.cpp
+++ b/src/libcaraway/http/listener.cpp
@@ -106,18 +106,31 @@
     return address_.port();
 }
 
-void listener::close_idle()
+void listener::close_idle(std::chrono::milliseconds first_request_time)
 {
     erase_expired();
     for (const auto& entry : connections_)
     {
-        if (const auto connection = entry.lock())
+        const auto connection = entry.lock();
+        if (connection && !connection->is_new(first_request_time))
         {
             connection->close_if_idle();
         }
     }
 }
 
+void listener::refuse_incomplete()
+{
+    erase_expired();
+    for (const auto& entry : connections_)
+    {
+        if (const auto connection = entry.lock())
+        {
+            connection->refuse_incomplete();
+        }
+    }
+}
+
 void listener::close()
 {
     refusing_ = false;
--- a/src/libcaraway/http/listener.hpp
+++ b/src/libcaraway/http/listener.hpp
@@ -62,7 +62,10 @@
 
     /// Closes connections that are between requests. Busy connections close after their answer if
     /// `server_limits::closing` is set.
-    void close_idle();
+    /// `first_request_time`: for which the first request of a new connection may be on its way.
+    void close_idle(std::chrono::milliseconds first_request_time = {});
+    /// Refuses the requests of which only a part has arrived.
+    void refuse_incomplete();
     /// Stops listening for good; open connections stay.
     void close();
 
--- a/src/libcaraway/http/server_connection.cpp
+++ b/src/libcaraway/http/server_connection.cpp
@@ -52,6 +52,7 @@
     boost::system::error_code ignored;
     socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);
+    opened_ = timers_.now();
     limits_ = limits_source_();
     request_hold_ = memory_hold(limits_.memory, held_for::request);
     answer_hold_ = memory_hold(limits_.memory, held_for::answer);
--- a/src/libcaraway/http/server_connection.hpp
+++ b/src/libcaraway/http/server_connection.hpp
@@ -132,6 +132,13 @@
     void refuse(std::string_view whole_answer);
     /// Closes the connection unless a request is being read or answered. Returns whether it closed.
     bool close_if_idle();
+    /// Whether the connection was opened less than `period` ago and no request has been answered.
+    bool is_new(std::chrono::milliseconds period) const
+    {
+        return !answered_ && timers_.now() - opened_ < period;
+    }
+    /// Refuses a request of which only a part has arrived: 503, as it has not run.
+    void refuse_incomplete();
     /// Closes the connection immediately. No request is delivered and no byte sent afterwards.
     void close();
     /// Whether a request is in progress or its answer has not been completely passed to the kernel.
@@ -219,6 +226,7 @@
     /// Length of the body that room was found for.
     std::size_t expected_body_ = 0;
     timer_queue::handle deadline_;
+    base::time_point opened_{};
     base::time_point first_byte_time_{};
     base::time_point room_deadline_{};
     /// When the kernel last took bytes of an answer.
--- a/src/libcaraway/http/server_connection_output.cpp
+++ b/src/libcaraway/http/server_connection_output.cpp
@@ -163,6 +163,15 @@
     on_answer_ended(false);
 }
 
+void server_connection::refuse_incomplete()
+{
+    const bool has_part = parser_ && (parser_->got_some() || !buffer_.empty());
+    if (has_part && may_parse())
+    {
+        reject(status::service_unavailable);
+    }
+}
+
 void server_connection::on_answer_ended(bool keep)
 {
     current_.reset();
--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -275,6 +275,29 @@
     }
 }
 
+void core::end_requests()
+{
+    std::vector<std::shared_ptr<request_session>> sessions;
+    for (const auto& [unused, session] : waiting_)
+    {
+        sessions.push_back(session.lock());
+    }
+    for (const auto& [unused, at_upstream] : in_flight_)
+    {
+        for (const auto& [unused_address, session] : at_upstream)
+        {
+            sessions.push_back(session.lock());
+        }
+    }
+    for (const auto& session : sessions)
+    {
+        if (session)
+        {
+            session->end_with_process();
+        }
+    }
+}
+
 void core::track_in_flight(const base::upstream_id& id, request_session& session)
 {
     in_flight_[id][&session] = session.weak_from_this();
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -105,6 +105,8 @@
     /// Sends queued requests that find an upstream with room. To be called whenever capacity may
     /// have become free.
     void dispatch_waiting();
+    /// Ends all requests that wait or are in flight, as the process ends.
+    void end_requests();
     /// Rejects requests whose time in the wait queue has expired.
     void expire_waiting();
 
--- a/src/libcaraway/router/daemon.cpp
+++ b/src/libcaraway/router/daemon.cpp
@@ -28,8 +28,12 @@
 /// callers that keep a list of routers three times as long as it is valid. A request accepted later
 /// could take longer than the grace.
 constexpr milliseconds accept_while_stopping{3000};
-/// Time before SIGKILL in which the last answers are sent.
-constexpr milliseconds shutdown_margin{500};
+/// While the router stops, for which the first request of a new connection may be on its way.
+constexpr milliseconds first_request_time{1000};
+/// Time before SIGKILL at which requests that are still under way are ended.
+constexpr milliseconds last_answers_margin{500};
+/// Time before SIGKILL at which the process ends, though answers may not have been read.
+constexpr milliseconds shutdown_margin{200};
 
 /// How long callers may keep an idle connection, depending on the part of the connections that is
 /// in use (0 to 1). Rejected callers retry on a new connection each time: under many rejections
@@ -360,7 +364,15 @@
     const auto elapsed = now - *stopping_since_;
     if (elapsed > core_.options.entry_lifetime + tick_period)
     {
-        callers_->close_idle();
+        callers_->close_idle(first_request_time);
+    }
+    if (elapsed >= accept_while_stopping)
+    {
+        callers_->refuse_incomplete();
+    }
+    if (elapsed >= core_.options.grace - last_answers_margin)
+    {
+        core_.end_requests();
     }
     const bool is_done =
         elapsed > accept_while_stopping + tick_period && callers_->active_requests() == 0;
--- a/src/libcaraway/router/request_session.cpp
+++ b/src/libcaraway/router/request_session.cpp
@@ -272,6 +272,21 @@
     return shortest == milliseconds::max() ? milliseconds(0) : shortest;
 }
 
+void request_session::end_with_process()
+{
+    if (ended_)
+    {
+        return;
+    }
+    const auto keep = shared_from_this();
+    if (attempt_)
+    {
+        may_have_run_ = true;
+        release_attempt();
+    }
+    fail_unplaced("stopping");
+}
+
 void request_session::on_deadline()
 {
     if (ended_)
--- a/src/libcaraway/router/request_session.hpp
+++ b/src/libcaraway/router/request_session.hpp
@@ -25,6 +25,8 @@
     void on_wait_expired();
     /// Refuses the request if it is known to crash upstreams. Returns whether it is.
     bool refuse_if_crashing();
+    /// Ends the request as the process ends: it gets the answer that is true by now.
+    void end_with_process();
     /// A new process, with this uptime by its own clock, replaced the upstream that the request was
     /// sent to.
     void on_upstream_restarted(base::duration uptime);
