Tests: answers without end, at a real process

Reported of other systems: bytes without end from a faulty upstream, in a head or a body, ended the process that called it. Tried here with a test on: fields, small chunks, a body of a huge length and one without a length, 20 callers at once.

--- a/tests/clients/stand_in_upstream.cpp
+++ b/tests/clients/stand_in_upstream.cpp
@@ -31,6 +31,33 @@
            body;
 }
 
+/// What an answer without end begins with, and what follows it again and again.
+struct endless_answer
+{
+    std::string begin;
+    std::string part;
+};
+
+endless_answer endless_answer_to(std::string_view target, std::string_view request_id)
+{
+    const auto head = answer_head(request_id);
+    const std::string bytes(event_bytes, 'e');
+    if (target.ends_with("/fields"))
+    {
+        return {.begin = head, .part = "a: " + std::string(1000, 'e') + "\r\n"};
+    }
+    if (target.ends_with("/chunks"))
+    {
+        return {.begin = head + "Transfer-Encoding: chunked\r\n\r\n",
+                .part = "1\r\ne\r\n3\r\neee\r\n"};
+    }
+    if (target.ends_with("/long_body"))
+    {
+        return {.begin = head + "Content-Length: 1000000000000\r\n\r\n", .part = bytes};
+    }
+    return {.begin = head + "\r\n", .part = bytes};
+}
+
 std::string answer_of_many_lines(std::string_view request_id)
 {
     auto text = answer_head(request_id);
@@ -92,6 +119,13 @@
                      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
             endless = true;
         }
+        else if (target.starts_with("/endless/"))
+        {
+            const auto sent = endless_answer_to(target, id);
+            output = sent.begin;
+            repeated_part = sent.part;
+            endless = true;
+        }
         else if (target.starts_with("/large"))
         {
             output = whole_answer(id, std::string(large_answer_bytes, 'x'));
@@ -114,7 +148,9 @@
                                  {
                                      if (!error && self->endless)
                                      {
-                                         self->output = self->next_event();
+                                         self->output = self->repeated_part.empty()
+                                                            ? self->next_event()
+                                                            : self->repeated_part;
                                          self->write();
                                      }
                                  });
@@ -133,6 +169,8 @@
     std::array<char, 65536> buffer{};
     std::string received;
     std::string output;
+    /// Sent again and again; events if it is empty.
+    std::string repeated_part;
     bool endless = false;
     std::uint64_t events = 0;
 };
--- a/tests/clients/stand_in_upstream.hpp
+++ b/tests/clients/stand_in_upstream.hpp
@@ -12,8 +12,9 @@
 {
 
 /// Stand-in of an upstream, which answers by the path: `/held` never, `/large` with 3 MB, `/events`
-/// with events of 64 KB without end, `/lines` with a head of very many lines, others with a few
-/// bytes. It sends no more than its connection takes.
+/// with events of 64 KB without end, `/lines` with a head of very many lines, `/endless/` without
+/// end what is named behind it (fields, chunks, a body), others with a few bytes. It sends no more
+/// than its connection takes.
 class stand_in_upstream
 {
 public:
--- a/tests/clients/test_clients.cpp
+++ b/tests/clients/test_clients.cpp
@@ -148,6 +148,20 @@
                    .first_bytes = heads("/lines", "Content-Length: 0\r\n")});
 }
 
+// Guards against a process that keeps what a faulty upstream sends without end, until its memory is
+// used up and the requests of other callers end with it.
+BOOST_AUTO_TEST_CASE(answers_without_end)
+{
+    for (const std::string kind : {"fields", "chunks", "long_body", "body"})
+    {
+        BOOST_TEST_MESSAGE(kind);
+        check_against({.port = router.ports().callers,
+                       .clients = 20,
+                       .first_bytes = heads("/endless/" + kind, "Content-Length: 0\r\n"),
+                       .reads = reading::everything});
+    }
+}
+
 BOOST_AUTO_TEST_CASE(uploads_at_the_directory)
 {
     check_against({.port = router.ports().directory,
