--- a/tests/http/test_client_connection.cpp
+++ b/tests/http/test_client_connection.cpp
@@ -24,6 +24,19 @@
     }
 };
 
+/// Records what becomes of a call.
+http::call_events events_of(const std::shared_ptr<outcome>& result)
+{
+    return {.head = [=](const http::answer_head& head) { result->status = head.result_int(); },
+            .body = [=](std::string_view part) { result->body += part; },
+            .end = [=] { result->ended = true; },
+            .failed =
+                [=](http::call_failure failure)
+            {
+                result->failure = failure;
+            }};
+}
+
 struct client_fixture : http_tests::loop_fixture
 {
     http_tests::raw_server server{loop};
@@ -33,20 +46,12 @@
     std::shared_ptr<outcome> call(const std::string& id)
     {
         auto result = std::make_shared<outcome>();
-        connection->call(
-            {.ip = "127.0.0.1", .port = server.port()},
-            "POST /a HTTP/1.1\r\nHost: x\r\nX-Request-Id: " + id +
-                "\r\nContent-Length: 2\r\n\r\nhi",
-            false,
-            {.head = [=](const http::answer_head& head) { result->status = head.result_int(); },
-             .body = [=](std::string_view part) { result->body += part; },
-             .end = [=] { result->ended = true; },
-             .failed =
-                 [=](http::call_failure failure)
-             {
-                 result->failure = failure;
-             }},
-            [id](const http::answer_head& head) { return head["X-Request-Id"] == id; });
+        connection->call({.ip = "127.0.0.1", .port = server.port()},
+                         "POST /a HTTP/1.1\r\nHost: x\r\nX-Request-Id: " + id +
+                             "\r\nContent-Length: 2\r\n\r\nhi",
+                         false, events_of(result),
+                         [id](const http::answer_head& head)
+                         { return head["X-Request-Id"] == id; });
         return result;
     }
 
@@ -55,19 +60,10 @@
     {
         auto result = std::make_shared<outcome>();
         const std::string body(8U << 20U, 'b');
-        connection->call(
-            {.ip = "127.0.0.1", .port = server.port()},
-            "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) +
-                "\r\n\r\n" + body,
-            false,
-            {.head = [=](const http::answer_head& head) { result->status = head.result_int(); },
-             .body = [=](std::string_view part) { result->body += part; },
-             .end = [=] { result->ended = true; },
-             .failed =
-                 [=](http::call_failure failure)
-             {
-                 result->failure = failure;
-             }});
+        connection->call({.ip = "127.0.0.1", .port = server.port()},
+                         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                             std::to_string(body.size()) + "\r\n\r\n" + body,
+                         false, events_of(result));
         return result;
     }
 
