Router: the sessions that wait are collected in one place

The end of all requests had written again how the refusal for crashes collects them. No change of behaviour; users_platform, crashing_parts, planned_stop pass.

--- a/src/libcaraway/router/core.cpp
+++ b/src/libcaraway/router/core.cpp
@@ -275,13 +275,19 @@
     }
 }
 
-void core::end_requests()
+std::vector<std::shared_ptr<request_session>> core::waiting_sessions() const
 {
     std::vector<std::shared_ptr<request_session>> sessions;
     for (const auto& [unused, session] : waiting_)
     {
         sessions.push_back(session.lock());
     }
+    return sessions;
+}
+
+void core::end_requests()
+{
+    auto sessions = waiting_sessions();
     for (const auto& [unused, at_upstream] : in_flight_)
     {
         for (const auto& [unused_address, session] : at_upstream)
--- a/src/libcaraway/router/core.hpp
+++ b/src/libcaraway/router/core.hpp
@@ -228,6 +228,8 @@
 private:
     /// At an engine of the service, for requests beyond their workspace's share.
     std::chrono::milliseconds longest_contended_wait(const base::service_id& service) const;
+    /// Those that wait for a place now; ending one changes the queue.
+    std::vector<std::shared_ptr<request_session>> waiting_sessions() const;
     void process_crash(const std::optional<attempts::upstream_crash>& crash);
     /// Finds out whether the upstream has crashed, unless that is being done.
     void check_crashed(const routing::upstream& upstream);
--- a/src/libcaraway/router/core_crashes.cpp
+++ b/src/libcaraway/router/core_crashes.cpp
@@ -118,12 +118,7 @@
     {
         return;
     }
-    std::vector<std::shared_ptr<request_session>> sessions;
-    for (const auto& [unused, session] : waiting_)
-    {
-        sessions.push_back(session.lock());
-    }
-    for (const auto& session : sessions)
+    for (const auto& session : waiting_sessions())
     {
         if (session)
         {
