--- a/src/libcaraway/http/client_connection.cpp
+++ b/src/libcaraway/http/client_connection.cpp
@@ -10,8 +10,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
-#include <limits>
 #include <utility>
 
 namespace caraway::http
@@ -20,48 +18,12 @@
 namespace
 {
 
-namespace beast_http = boost::beast::http;
-
-/// Bytes. Larger than any request head a caller may send, as answers may echo the request's fields.
-constexpr std::uint32_t max_head_bytes = 65536;
 /// Bytes that the parser may leave for later: the head of a chunk with what was read behind it.
 constexpr std::size_t max_unparsed_bytes = 65536;
 
-/// Interim answers, and answers to other requests, that are skipped in one call. A sound server
-/// sends one or two.
-constexpr int max_skipped_answers = 16;
-
 /// How often it is asked whether an answer may be read on.
 constexpr std::chrono::milliseconds may_read_period{50};
 
-/// Returns the value of the "timeout=N" parameter of the Keep-Alive field; empty if it is missing
-/// or malformed.
-std::optional<std::chrono::seconds> parse_keep_alive_timeout(const answer_head& head)
-{
-    const auto text = head[field::keep_alive];
-    constexpr std::string_view name = "timeout=";
-    const auto at = text.find(name);
-    if (at == std::string_view::npos)
-    {
-        return std::nullopt;
-    }
-    int seconds = 0;
-    const auto* begin = text.data() + at + name.size();
-    const auto [end, error] = std::from_chars(begin, text.data() + text.size(), seconds);
-    if (error != std::errc{} || end == begin)
-    {
-        return std::nullopt;
-    }
-    return std::chrono::seconds(seconds);
-}
-
-/// Whether an answer may have this status (RFC 9110, 15). No call asks for another protocol.
-bool is_possible_status(unsigned status)
-{
-    constexpr unsigned switching_protocols = 101;
-    return status >= 100 && status <= 599 && status != switching_protocols;
-}
-
 }  // namespace
 
 client_connection::client_connection(boost::asio::io_context& loop, timer_queue& timers,
@@ -81,9 +43,7 @@
     head_only_ = head_only;
     call_in_progress_ = true;
     skipped_answers_ = 0;
-    write_started_ = false;
-    write_completed_ = false;
-    write_failed_ = false;
+    write_progress_ = write_progress::not_started;
     stream_ended_ = false;
     start_parser();
     if (open_)
@@ -167,15 +127,15 @@
 
 void client_connection::write()
 {
-    write_started_ = true;
+    write_progress_ = write_progress::in_progress;
     const std::array<boost::asio::const_buffer, 2> message{boost::asio::buffer(request_),
                                                            body_ ? boost::asio::buffer(*body_)
                                                                  : boost::asio::const_buffer()};
     boost::asio::async_write(socket_, message,
                              [self = shared_from_this()](const auto& error, std::size_t)
                              {
-                                 self->write_completed_ = !error;
-                                 self->write_failed_ = static_cast<bool>(error);
+                                 self->write_progress_ =
+                                     error ? write_progress::failed : write_progress::completed;
                                  self->on_write_over();
                              });
 }
@@ -279,166 +239,12 @@
     read();
 }
 
-void client_connection::parse()
-{
-    while (call_in_progress_ && unparsed_bytes() > 0)
-    {
-        boost::system::error_code error;
-        const auto bytes_parsed = parser_->put(boost::asio::buffer(buffer_) + parsed_, error);
-        parsed_ += bytes_parsed;
-        if (error && error != beast_http::error::need_more)
-        {
-            fail();
-            return;
-        }
-        if (parser_->is_header_done() && !head_seen_)
-        {
-            process_head();
-        }
-        if (call_in_progress_ && head_seen_)
-        {
-            deliver_body();
-        }
-        if (call_in_progress_ && parser_->is_done())
-        {
-            complete();
-            continue;
-        }
-        if (error || bytes_parsed == 0)
-        {
-            return;
-        }
-    }
-}
-
-void client_connection::start_parser()
-{
-    parser_.emplace();
-    parser_->header_limit(max_head_bytes);
-    // Boost 1.74 refuses every body with a length if there is no limit.
-    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-    parser_->eager(true);
-    parser_->skip(head_only_);
-    head_seen_ = false;
-    skipping_ = false;
-}
-
-void client_connection::process_head()
-{
-    head_seen_ = true;
-    const auto& head = parser_->head();
-    const bool interim = head.result_int() < 200;
-    const bool possible = is_possible_status(head.result_int());
-    skipping_ = interim || !possible || (belongs_ && !belongs_(head));
-    skipped_answers_ += skipping_ ? 1 : 0;
-    if (!possible || skipped_answers_ > max_skipped_answers)
-    {
-        fail();
-        return;
-    }
-    const auto events = events_;
-    if (!skipping_ && events->head)
-    {
-        events->head(head);
-    }
-}
-
-void client_connection::deliver_body()
-{
-    auto& body = parser_->body();
-    if (body.empty())
-    {
-        return;
-    }
-    std::string part;
-    part.swap(body);
-    const auto events = events_;
-    if (!skipping_ && events->body)
-    {
-        events->body(part);
-    }
-}
-
-void client_connection::complete()
-{
-    if (skipping_)
-    {
-        start_parser();
-        return;
-    }
-    const auto& head = parser_->head();
-    const bool reusable = parser_->keep_alive() && !parser_->need_eof() && write_completed_;
-    const auto seconds = parse_keep_alive_timeout(head);
-    call_in_progress_ = false;
-    pause_ = {};
-    if (write_completed_)
-    {
-        std::string().swap(request_);
-        body_.reset();
-    }
-    idle_since_ = timers_.now();
-    keep_alive_until_ = seconds ? std::optional(idle_since_ + *seconds) : std::nullopt;
-    const auto events = std::move(events_);
-    // Bytes after a complete answer belong to no call.
-    if (!reusable || unparsed_bytes() > 0)
-    {
-        close();
-    }
-    if (events->end)
-    {
-        events->end();
-    }
-    if (!call_in_progress_)
-    {
-        // Frees the answer's head.
-        parser_.reset();
-    }
-}
-
-void client_connection::on_end_of_stream(const boost::system::error_code& error)
-{
-    if (!call_in_progress_)
-    {
-        close();
-        return;
-    }
-    if (error != boost::asio::error::eof || !head_seen_ || skipping_ || !parser_->need_eof())
-    {
-        fail();
-        return;
-    }
-    stream_ended_ = true;
-    // A reset is told to the first operation that meets it. If that was the write, the end of the
-    // stream looks orderly here, so what becomes of a write in progress is waited for.
-    if (write_completed_ || write_failed_)
-    {
-        end_with_stream();
-    }
-}
-
-/// An answer without a length is complete at an orderly close, but not after a reset.
-void client_connection::end_with_stream()
-{
-    boost::system::error_code unfinished;
-    if (!write_failed_)
-    {
-        parser_->put_eof(unfinished);
-    }
-    if (write_failed_ || unfinished || !parser_->is_done())
-    {
-        fail();
-        return;
-    }
-    deliver_body();
-    complete();
-}
-
 void client_connection::fail()
 {
     const bool head = head_seen_ && !skipping_;
-    fail(head             ? call_failure::truncated_answer
-         : write_started_ ? call_failure::no_answer
-                          : call_failure::not_connected);
+    fail(head                                             ? call_failure::truncated_answer
+         : write_progress_ != write_progress::not_started ? call_failure::no_answer
+                                                          : call_failure::not_connected);
 }
 
 void client_connection::fail(call_failure failure)
--- a/src/libcaraway/http/client_connection.hpp
+++ b/src/libcaraway/http/client_connection.hpp
@@ -98,6 +98,15 @@
     }
 
 private:
+    /// How far the request of the call in progress has been written.
+    enum class write_progress
+    {
+        not_started,
+        in_progress,
+        completed,
+        failed,
+    };
+
     using tcp = boost::asio::ip::tcp;
 
     void connect(const routing::endpoint& to);
@@ -140,14 +149,12 @@
     std::optional<base::time_point> keep_alive_until_;
     /// Before the next read; 0 for none.
     base::duration pause_{};
+    write_progress write_progress_ = write_progress::not_started;
     bool head_only_ = false;
     bool call_in_progress_ = false;
     bool open_ = false;
     bool closed_ = false;
     bool refused_ = false;
-    bool write_started_ = false;
-    bool write_completed_ = false;
-    bool write_failed_ = false;
     /// The server has ended its bytes, and with them an answer without a length.
     bool stream_ended_ = false;
     int skipped_answers_ = 0;
