--- a/src/libcaraway/routing/digest_decode.cpp
+++ b/src/libcaraway/routing/digest_decode.cpp
@@ -1,5 +1,5 @@
 // Decoding of digests, which come at a hundred or two a second and VM.
-#include "libcaraway/routing/cbor_reader.hpp"
+#include "libcaraway/routing/cbor_fields.hpp"
 #include "libcaraway/routing/digest.hpp"
 #include "libcaraway/routing/digest_format.hpp"
 
@@ -16,69 +16,15 @@
 /// Routers send fewer.
 constexpr std::size_t max_part_rates = 256;
 
-template <class Id>
-Id read_id(cbor_reader& in)
-{
-    return Id(std::string(in.text()));
-}
-
-template <class Enum, class Integer = std::underlying_type_t<Enum>>
-Enum read_enum(cbor_reader& in)
-{
-    return Enum{in.integer<Integer>()};
-}
-
-/// Narrower than the duration where no sender has more.
-template <class Integer>
-std::chrono::milliseconds read_milliseconds(cbor_reader& in)
-{
-    return std::chrono::milliseconds(in.integer<Integer>());
-}
-
-/// Calls `read_item` for each item of an array.
-template <class ReadItem>
-void read_items(cbor_reader& in, const ReadItem& read_item)
-{
-    for (auto left = in.array(); left > 0 && !in.failed(); --left)
-    {
-        read_item();
-    }
-}
-
-/// Calls `read_entry` for each item of an array, all of which are arrays of at least
-/// `field_count` fields; further fields are ignored.
-template <class ReadEntry>
-void read_entries(cbor_reader& in, std::uint64_t field_count, const ReadEntry& read_entry)
-{
-    read_items(in,
-               [&]
-               {
-                   const auto size = in.array(field_count);
-                   read_entry();
-                   in.skip(size - field_count);
-               });
-}
-
-/// Reads a map's entries, which senders have sorted by their ids; of equal ids the last counts.
-template <class Map, class ReadValue>
-Map read_map(cbor_reader& in, std::uint64_t field_count, const ReadValue& read_value)
-{
-    Map map;
-    read_entries(in, field_count,
-                 [&]
-                 {
-                     auto id = read_id<typename Map::key_type>(in);
-                     map.insert_or_assign(map.end(), std::move(id), read_value());
-                 });
-    return map;
-}
-
 endpoint read_endpoint(cbor_reader& in)
 {
-    constexpr std::uint64_t field_count = 2;
-    const auto size = in.array(field_count);
-    endpoint address{.ip = std::string(in.text()), .port = in.integer<std::uint16_t>()};
-    in.skip(size - field_count);
+    endpoint address;
+    read_fields(in, 2,
+                [&]
+                {
+                    address.ip = in.text();
+                    address.port = in.integer<std::uint16_t>();
+                });
     return address;
 }
 
@@ -150,21 +96,22 @@
 
 attempts::suspect_entry read_suspect(cbor_reader& in)
 {
-    constexpr std::uint64_t without_starts = 5;
-    constexpr std::uint64_t with_starts = 6;
-    const auto size = in.array(without_starts);
-    attempts::suspect_entry entry{.fingerprint = read_enum<attempts::request_fingerprint>(in)};
-    read_items(
-        in, [&]
-        { entry.crashes.push_back({.upstream = read_enum<attempts::upstream_fingerprint>(in)}); });
-    entry.ran_alone = in.boolean();
-    entry.cleared = in.boolean();
-    entry.expires_in_ms = in.integer<std::uint32_t>();
-    if (size >= with_starts)
+    attempts::suspect_entry entry;
+    const auto read_crash = [&]
     {
-        read_starts(in, entry.crashes);
-    }
-    in.skip(size - (size >= with_starts ? with_starts : without_starts));
+        entry.crashes.push_back({.upstream = read_enum<attempts::upstream_fingerprint>(in)});
+    };
+    read_fields(
+        in, 5,
+        [&]
+        {
+            entry.fingerprint = read_enum<attempts::request_fingerprint>(in);
+            read_items(in, read_crash);
+            entry.ran_alone = in.boolean();
+            entry.cleared = in.boolean();
+            entry.expires_in_ms = in.integer<std::uint32_t>();
+        },
+        [&] { read_starts(in, entry.crashes); });
     return entry;
 }
 
@@ -184,32 +131,29 @@
 
 parts::part_evidence::crash read_part_crash(cbor_reader& in)
 {
-    constexpr std::uint64_t without_start = 2;
-    constexpr std::uint64_t with_start = 3;
-    const auto size = in.array(without_start);
-    parts::part_evidence::crash crash{
-        .fingerprint = {.upstream = read_enum<attempts::upstream_fingerprint>(in)},
-        .age = read_milliseconds<std::uint32_t>(in)};
-    if (size >= with_start)
-    {
-        crash.fingerprint.start = read_enum<attempts::start_fingerprint>(in);
-    }
-    in.skip(size - (size >= with_start ? with_start : without_start));
+    parts::part_evidence::crash crash;
+    read_fields(
+        in, 2,
+        [&]
+        {
+            crash.fingerprint.upstream = read_enum<attempts::upstream_fingerprint>(in);
+            crash.age = read_milliseconds<std::uint32_t>(in);
+        },
+        [&] { crash.fingerprint.start = read_enum<attempts::start_fingerprint>(in); });
     return crash;
 }
 
 parts::part_evidence read_part_evidence(cbor_reader& in)
 {
-    constexpr std::uint64_t without_sound_age = 2;
-    constexpr std::uint64_t with_sound_age = 3;
-    const auto size = in.array(without_sound_age);
-    parts::part_evidence evidence{.part = read_enum<parts::part_fingerprint>(in)};
-    read_items(in, [&] { evidence.crashes.push_back(read_part_crash(in)); });
-    if (size >= with_sound_age)
-    {
-        evidence.sound_age = read_milliseconds<std::uint32_t>(in);
-    }
-    in.skip(size - (size >= with_sound_age ? with_sound_age : without_sound_age));
+    parts::part_evidence evidence;
+    read_fields(
+        in, 2,
+        [&]
+        {
+            evidence.part = read_enum<parts::part_fingerprint>(in);
+            read_items(in, [&] { evidence.crashes.push_back(read_part_crash(in)); });
+        },
+        [&] { evidence.sound_age = read_milliseconds<std::uint32_t>(in); });
     return evidence;
 }
 
