HTTP: an answer in a transfer coding other than chunks is no answer

What callers saw: an upstream's 'Transfer-Encoding: xchunked', or 'chunked, gzip', and a body in chunks reached them as a 200 whose body was the chunks' framing ('d', the bytes, '0'); 'gzip, chunked' as a 200 with the coded bytes and without the coding's name. The store's rows and a peer's tables were taken from such answers too.

Cause: the parser takes any coding it doesn't know for a body that ends with the connection, and takes off the last 'chunked' of a list only; the field itself concerns one connection and isn't passed on. Requests were checked for this, answers weren't.

Chunks in HTTP/1.0, which has none, passed as 200 too.

Fix: one check for requests and answers, before the head goes to anyone: no coding, or 'chunked' alone and in HTTP/1.1, as RFC 9112, 6.1 and 6.3 say; else the call fails (502) and its connection is closed.

--- a/src/libcaraway/http/answer_head.hpp
+++ b/src/libcaraway/http/answer_head.hpp
@@ -24,8 +24,19 @@
         code_ = code;
     }
 
+    /// 10 for HTTP/1.0, 11 for HTTP/1.1.
+    unsigned version() const
+    {
+        return version_;
+    }
+    void set_version(unsigned version)
+    {
+        version_ = version;
+    }
+
 private:
     unsigned code_ = 0;
+    unsigned version_ = 11;
 };
 
 }  // namespace caraway::http
--- a/src/libcaraway/http/answer_parser.hpp
+++ b/src/libcaraway/http/answer_parser.hpp
@@ -9,8 +9,9 @@
 class answer_parser final : public flat_parser<false, answer_head>
 {
 private:
-    void on_response_impl(int code, string_view, int, error_code&) override
+    void on_response_impl(int code, string_view, int version, error_code&) override
     {
+        head().set_version(static_cast<unsigned>(version));
         head().result(static_cast<unsigned>(code));
     }
 };
--- a/src/libcaraway/http/client_connection.hpp
+++ b/src/libcaraway/http/client_connection.hpp
@@ -55,7 +55,8 @@
 /// a late duplicate answer to an earlier call in place of the next answer, and accepting it would
 /// deliver one caller's answer to another. Bytes received between calls close the connection, and
 /// so do a malformed head, a line of it that continues another (RFC 9112, 5.2), a status that there
-/// is none of and more skipped answers than a sound server sends.
+/// is none of, a transfer coding other than chunks and more skipped answers than a sound server
+/// sends.
 ///
 /// An answer without a length ends with its connection. It ends only once the request is written:
 /// a server that answers early and reads on is waited for, one that resets has not answered.
--- a/src/libcaraway/http/client_connection_answer.cpp
+++ b/src/libcaraway/http/client_connection_answer.cpp
@@ -1,6 +1,8 @@
 // How the bytes of a connection become answers, and where an answer ends.
 #include "libcaraway/http/client_connection.hpp"
 
+#include "libcaraway/http/transfer_coding.hpp"
+
 #include <charconv>
 #include <limits>
 #include <utility>
@@ -125,7 +127,8 @@
     head_seen_ = true;
     const auto& head = parser_->head();
     const bool interim = head.result_int() < 200;
-    const bool possible = is_possible_status(head.result_int());
+    const bool possible =
+        is_possible_status(head.result_int()) && has_known_coding(head, head.version());
     skipping_ = interim || !possible || (belongs_ && !belongs_(head));
     skipped_answers_ += skipping_ ? 1 : 0;
     if (!possible || skipped_answers_ > max_skipped_answers)
--- a/src/libcaraway/http/request_checks.cpp
+++ b/src/libcaraway/http/request_checks.cpp
@@ -1,5 +1,7 @@
 #include "libcaraway/http/request_checks.hpp"
 
+#include "libcaraway/http/transfer_coding.hpp"
+
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
@@ -19,20 +21,13 @@
 {
     const auto encodings = head.count(field::transfer_encoding);
     const auto length_fields = head.count(field::content_length);
-    if (length_fields > 1 || encodings > 1 || (length_fields > 0 && encodings > 0))
+    if (length_fields > 1 || !has_known_coding(head, head.version()) ||
+        (length_fields > 0 && encodings > 0))
     {
         return false;
     }
     const auto length = head[field::content_length];
-    if (!std::all_of(length.begin(), length.end(), [](char c) { return c >= '0' && c <= '9'; }))
-    {
-        return false;
-    }
-    if (encodings == 1)
-    {
-        return head.version() >= 11 && is_same_name(head[field::transfer_encoding], "chunked");
-    }
-    return true;
+    return std::all_of(length.begin(), length.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
 
 bool has_one_host(const request_head& head)
--- a/tests/broken_answers/test_broken_answers.cpp
+++ b/tests/broken_answers/test_broken_answers.cpp
@@ -226,4 +226,44 @@
     check_still_works();
 }
 
+// Guards against chunks that are passed on as the body, and an encoded body that is passed on
+// without its encoding's name: of the transfer codings only `chunked`, alone, is understood here.
+BOOST_AUTO_TEST_CASE(an_answer_with_a_transfer_coding_other_than_chunks)
+{
+    const std::string chunks = "d\r\n" + marker + "\r\n0\r\n\r\n";
+    const std::vector<std::string> codings{"Transfer-Encoding: xchunked",
+                                           "Transfer-Encoding: chunked, gzip",
+                                           "Transfer-Encoding: gzip, chunked",
+                                           "Transfer-Encoding: gzip",
+                                           "Transfer-Encoding: chunked, chunked",
+                                           "Transfer-Encoding: chunked;q=1",
+                                           "Transfer-Encoding: identity",
+                                           "Transfer-Encoding:",
+                                           "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+                                           "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip"};
+    for (const auto& path : paths)
+    {
+        for (const auto& coding : codings)
+        {
+            check_not_passed_on(
+                [&](const std::string& id)
+                {
+                    return raw_answer{.bytes = "HTTP/1.1 200 OK\r\n" + sealed_head(id) + coding +
+                                               "\r\n\r\n" + chunks,
+                                      .end = ending::close};
+                },
+                coding, path);
+        }
+        check_not_passed_on(
+            [&](const std::string& id)
+            {
+                return raw_answer{.bytes = "HTTP/1.0 200 OK\r\n" + sealed_head(id) +
+                                           "Transfer-Encoding: chunked\r\n\r\n" + chunks,
+                                  .end = ending::close};
+            },
+            "chunks in HTTP/1.0", path);
+    }
+    check_still_works();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
