HTTP: an answer beyond the limit of a buffered call is no answer

What was seen: a call to the store or a peer whose answer has over 8 MB ended as a whole answer with the parts that fitted. No such answer is known from the users' systems: the store's have 1 MB.

Cause: parts beyond the limit were discarded, the end of the answer was reported all the same. A part that fitted after one that didn't was even joined to what was before it.

Evidence: http/buffered_calls, an_answer_beyond_the_limit_is_no_answer, failed on with a length and with chunks.

Fix: the first part beyond the limit ends the call with an error that says the bound, and its connection. The other cases of the new test (reset amid an upload, impossible status, malformed field name, a check for a listener) passed before.

--- a/src/libcaraway/http/buffered_call.cpp
+++ b/src/libcaraway/http/buffered_call.cpp
@@ -12,7 +12,7 @@
 
 namespace beast_http = boost::beast::http;
 
-/// Bytes; the store's answers have at most 1 MB. Body parts that would exceed this are discarded.
+/// Bytes; the store's answers have at most 1 MB.
 constexpr std::size_t max_body_bytes = 8U << 20U;
 
 }  // namespace
@@ -56,14 +56,7 @@
     connection_->call(
         to, std::move(request), false,
         {.head = [this](const answer_head& head) { answer_.status = head.result_int(); },
-         .body =
-             [this](std::string_view part)
-         {
-             if (answer_.body.size() + part.size() <= max_body_bytes)
-             {
-                 answer_.body += part;
-             }
-         },
+         .body = [this](std::string_view part) { take(part); },
          .end = [this] { finish(std::move(answer_)); },
          .failed =
              [this](call_failure failure)
@@ -75,6 +68,19 @@
          }});
 }
 
+void buffered_caller::take(std::string_view part)
+{
+    if (answer_.body.size() + part.size() <= max_body_bytes)
+    {
+        answer_.body += part;
+        return;
+    }
+    connection_->close();
+    finish(base::make_error(base::errc::unknown_effect, "The answer's body has more than " +
+                                                            std::to_string(max_body_bytes) +
+                                                            " bytes."));
+}
+
 void buffered_caller::finish(base::result<buffered_answer> result)
 {
     timers_.cancel(deadline_);
--- a/src/libcaraway/http/buffered_call.hpp
+++ b/src/libcaraway/http/buffered_call.hpp
@@ -27,8 +27,8 @@
     ~buffered_caller();
 
     /// Errors passed to `action`: errc::unavailable if nothing was sent; errc::unknown_effect if
-    /// the connection failed later or no complete answer arrived within `timeout`. Only while not
-    /// busy.
+    /// the connection failed later, the answer's body has more than 8 MB or no complete answer
+    /// arrived within `timeout`. Only while not busy.
     void call(const routing::endpoint& to, std::string request, std::chrono::milliseconds timeout,
               done action);
     /// Whether a call is in progress.
@@ -38,6 +38,7 @@
     }
 
 private:
+    void take(std::string_view part);
     void finish(base::result<buffered_answer> result);
 
     boost::asio::io_context& loop_;
