Daemon: an answer's head is judged before it is passed on

What callers saw: an engine's answer with a status of 600, 999 or 1000 was passed on as a whole answer. One with a status under 200, with a malformed field name, with two lengths or a coding other than chunks was begun with its status and part of a body, and only then broken off; of 000, bytes were passed on without a head.

Cause: an answer was judged at its end only, and a status over 599 never. Qt reads heads leniently: it gives the status of one that it can't read, and no field.

Evidence: net/broken_answers failed on in three of its four cases. The fourth, a 200 without a length that is reset amid the upload, passed: an answer without length or chunks is never whole here.

Fix: a status from 200 to 599, and a length or chunks where a body follows, are asked for before anything is passed on; else the call ends without an answer, and may be tried again by the same rules as any that got none. Bytes without a head are dropped. All four cases and the client's other tests pass.

--- a/src/libcaraway/net/http_answer_check.cpp
+++ b/src/libcaraway/net/http_answer_check.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr int first_final_status = 200;
+constexpr int last_status = 599;
 constexpr int no_content = 204;
 constexpr int not_modified = 304;
 constexpr int first_error_status = 400;
@@ -58,6 +59,25 @@
     return parsed.ec == std::errc() ? std::optional(length) : std::nullopt;
 }
 
+base::error judge_head(const received_answer& answer, bool has_body, const std::string& upstream)
+{
+    const auto unknown = [&](const std::string& message)
+    {
+        return base::make_error(base::errc::unknown_effect, upstream + ": " + message);
+    };
+    if (answer.status < first_final_status || answer.status > last_status)
+    {
+        return unknown("the answer's status is " + std::to_string(answer.status) +
+                       ", a final one is from " + std::to_string(first_final_status) + " to " +
+                       std::to_string(last_status));
+    }
+    if (has_body && !is_framed(answer))
+    {
+        return unknown("the answer has neither length nor chunks, so its end can't be told");
+    }
+    return {};
+}
+
 base::error judge(const QNetworkReply& reply, const received_answer& answer,
                   const std::string& upstream)
 {
@@ -74,14 +94,6 @@
     {
         return unknown("no answer: " + reply.errorString().toStdString());
     }
-    if (answer.status < first_final_status)
-    {
-        return unknown("sent an interim answer that nobody asked for");
-    }
-    if (!is_framed(answer))
-    {
-        return unknown("the answer has neither length nor chunks, so its end can't be told");
-    }
     if (const auto length = announced_length(answer))
     {
         // The length decides, whatever Qt says: it also calls a whole 307 failed, as it would like
--- a/src/libcaraway/net/http_answer_check.hpp
+++ b/src/libcaraway/net/http_answer_check.hpp
@@ -26,8 +26,14 @@
 /// Its Content-Length, if that is how it says where it ends.
 std::optional<std::uint64_t> announced_length(const received_answer& answer);
 
-/// Why the answer of a finished reply can't count as whole: unavailable where the upstream refused
-/// the connection, else unknown_effect. An error without message where its framing ended properly.
+/// Why an answer with this head can't be passed on: unknown_effect. An error without message where
+/// its status is a final one and, if a body follows, its end can be told (RFC 9112, 6.3). Of a head
+/// that it can't read, Qt gives the status and no field.
+base::error judge_head(const received_answer& answer, bool has_body, const std::string& upstream);
+
+/// Why the answer of a finished reply whose head was passed on can't count as whole: unavailable
+/// where the upstream refused the connection, else unknown_effect. An error without message where
+/// its framing ended properly.
 base::error judge(const QNetworkReply& reply, const received_answer& answer,
                   const std::string& upstream);
 
--- a/src/libcaraway/net/http_attempt.cpp
+++ b/src/libcaraway/net/http_attempt.cpp
@@ -137,6 +137,12 @@
     headers_ = headers_of(*reply_);
     last_data_ = std::chrono::steady_clock::now();
     pool_->note_alive(host_and_port_, last_data_);
+    if (base::error fault = judge_head(answer(), !is_head(), host_and_port_);
+        !fault.message.empty())
+    {
+        end({.status = status_, .sent = delivery::sent, .error = std::move(fault)});
+        return;
+    }
     wait(waiting_for::data, request_.timeouts.idle);
     if (is_paused_ || announced_length(answer()).value_or(0) > read_buffer_bytes)
     {
@@ -165,7 +171,8 @@
 void http_attempt::pass_on()
 {
     on_meta_data();
-    while (!has_ended_ && !is_paused_ && reply_->bytesAvailable() > 0)
+    // Bytes without a head are no body.
+    while (!has_ended_ && !is_paused_ && status_ != 0 && reply_->bytesAvailable() > 0)
     {
         const QByteArray bytes = reply_->readAll();
         received_ += static_cast<std::uint64_t>(bytes.size());
