Load tool: what a broken answer is, is read strictly

What was seen: the tool counted broken answers as whole, so that a run couldn't show the fault that let them through: 'Content-Length: x' and '2x' as a whole, empty answer; statuses of 99, 600 and 1000; any field name; two lengths, a length beside chunks; chunk sizes with a sign or a prefix; malformed trailers. A head of a status line alone (204) was no answer.

Cause: numbers were read with conversions that give 0 on an error or take signs, and fields were found by searching the head's text.

Fix: a head is parsed line by line into response_head, which knows status, fields and framing and refuses what RFC 9112 (2 to 7) doesn't allow. It stays the tool's own, so that it doesn't come from the code that it measures.

--- a/src/caraway_load/calls/response_reader.cpp
+++ b/src/caraway_load/calls/response_reader.cpp
@@ -1,7 +1,5 @@
 #include "caraway_load/calls/response_reader.hpp"
 
-#include <QList>
-
 #include <algorithm>
 
 namespace caraway_load::calls
@@ -13,7 +11,27 @@
 const QByteArray line_end("\r\n");
 const QByteArray head_end("\r\n\r\n");
 constexpr int radix_hex = 16;
-constexpr int status_no_content = 204;
+/// Any number of so many hexadecimal digits fits.
+constexpr qsizetype max_size_digits = 15;
+
+bool is_hex_digit(char c)
+{
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+}
+
+/// The size in the first line of a chunk (RFC 9112, 7.1); empty if the line is malformed.
+std::optional<qint64> chunk_size(const QByteArray& line)
+{
+    const auto end = std::find_if_not(line.begin(), line.end(), is_hex_digit);
+    const auto digits = end - line.begin();
+    const QByteArray rest = line.mid(digits).trimmed();
+    const bool has_extension = rest.startsWith(';');
+    if (digits == 0 || digits > max_size_digits || (digits < line.size() && !has_extension))
+    {
+        return std::nullopt;
+    }
+    return line.left(digits).toLongLong(nullptr, radix_hex);
+}
 
 }  // namespace
 
@@ -29,33 +47,29 @@
 
 void response_reader::restart()
 {
-    head_.clear();
+    head_.reset();
     state_ = state::head;
-    status_ = 0;
     left_ = 0;
 }
 
+bool response_reader::has_begun() const
+{
+    return state_ != state::head || !buffer_.isEmpty();
+}
+
 bool response_reader::head_read() const
 {
-    return status_ != 0;
+    return head_.has_value();
 }
 
 int response_reader::status() const
 {
-    return status_;
+    return head_ ? head_->status() : 0;
 }
 
 QByteArray response_reader::header(const QByteArray& name) const
 {
-    const QByteArray wanted = line_end + name + ':';
-    const qsizetype at = head_.toLower().indexOf(wanted);
-    if (at < 0)
-    {
-        return {};
-    }
-    const qsizetype begin = at + wanted.size();
-    const qsizetype end = head_.indexOf(line_end, begin);
-    return head_.mid(begin, end < 0 ? -1 : end - begin).trimmed();
+    return head_ ? head_->field(name) : QByteArray();
 }
 
 bool response_reader::ended() const
@@ -116,26 +130,17 @@
     {
         return false;
     }
-    head_ = buffer_.left(end);
+    head_ = response_head::parse(buffer_.left(end + line_end.size()));
     buffer_.remove(0, end + head_end.size());
-    const QList<QByteArray> words = head_.left(head_.indexOf(line_end)).split(' ');
-    status_ = words.size() > 1 && words[0].startsWith("HTTP/1.1") ? words[1].toInt() : 0;
-    const QByteArray length = header("content-length");
-    // An answer that ends with the connection can't be told from one that was cut.
-    state_ = state::malformed;
-    if (status_ == 0)
+    if (!head_)
     {
+        state_ = state::malformed;
         return true;
     }
-    if (header("transfer-encoding").toLower() == "chunked")
-    {
-        state_ = state::chunk_size;
-    }
-    else if (!length.isEmpty() || status_ == status_no_content)
-    {
-        left_ = length.toLongLong();
-        state_ = left_ == 0 ? state::ended : state::counted_body;
-    }
+    left_ = head_->body_bytes();
+    state_ = head_->is_chunked() ? state::chunk_size
+             : left_ == 0        ? state::ended
+                                 : state::counted_body;
     return true;
 }
 
@@ -146,9 +151,9 @@
     {
         return false;
     }
-    bool is_number = false;
-    left_ = line.split(';').first().trimmed().toLongLong(&is_number, radix_hex);
-    state_ = !is_number ? state::malformed : left_ == 0 ? state::trailer : state::chunk_body;
+    const auto size = chunk_size(line);
+    left_ = size.value_or(0);
+    state_ = !size ? state::malformed : left_ == 0 ? state::trailer : state::chunk_body;
     return true;
 }
 
@@ -173,7 +178,9 @@
     {
         return false;
     }
-    state_ = line.isEmpty() ? state::ended : state::trailer;
+    state_ = line.isEmpty()        ? state::ended
+             : is_field_line(line) ? state::trailer
+                                   : state::malformed;
     return true;
 }
 
--- a/src/caraway_load/calls/response_reader.hpp
+++ b/src/caraway_load/calls/response_reader.hpp
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "caraway_load/calls/response_head.hpp"
+
 #include <QByteArray>
 
+#include <optional>
+
 namespace caraway_load::calls
 {
 
@@ -16,13 +20,15 @@
     /// Ready for the next answer on the same connection.
     void restart();
 
+    /// Something of an answer has come.
+    bool has_begun() const;
     bool head_read() const;
     int status() const;
     /// A field of the head, empty if there is none. `name` is lower case.
     QByteArray header(const QByteArray& name) const;
     /// The answer's framing ended as it should.
     bool ended() const;
-    /// What came is no HTTP.
+    /// What came is no HTTP, or leaves open where the answer ends.
     bool malformed() const;
     /// The server closes the connection after this answer.
     bool closes() const;
@@ -50,9 +56,8 @@
     bool take_line(QByteArray& line);
 
     QByteArray buffer_;
-    QByteArray head_;
+    std::optional<response_head> head_;
     state state_ = state::head;
-    int status_ = 0;
     qint64 left_ = 0;
 };
 
--- a/tests/load/answers_test.cpp
+++ b/tests/load/answers_test.cpp
@@ -97,6 +97,75 @@
     BOOST_TEST(reader.malformed());
 }
 
+// Guards against a broken answer that counts as whole, and hides the fault that let it through.
+BOOST_AUTO_TEST_CASE(broken_answers_are_not_whole)
+{
+    const QByteArray rest = "Content-Length: 2\r\n\r\nok";
+    const auto check_malformed = [](const QByteArray& answer)
+    {
+        response_reader reader;
+        reader.feed(answer);
+        BOOST_TEST(reader.malformed(), answer.toStdString());
+        BOOST_TEST(!reader.ended(), answer.toStdString());
+    };
+    for (const char* const status :
+         {"000", "099", "99", "101", "600", "999", "1000", "2000", "20", "-20", "+200", "2x0", ""})
+    {
+        check_malformed(QByteArray("HTTP/1.1 ") + status + " X\r\n" + rest);
+    }
+    for (const char* const version : {"HTTP/1.10", "HTTP/1.1x", "HTTP/1.0", "HTTP/2.0", "XTTP/1.1"})
+    {
+        check_malformed(QByteArray(version) + " 200 OK\r\n" + rest);
+    }
+    const std::vector<QByteArray> names{
+        "X Odd",     "X-Odd ",    "X-Odd\t",   " X-Odd",
+        "X-\x01Odd", "\x01X-Odd", "X-Odd\x1f", QByteArray("X-\0Odd", 6),
+        "X-\x7fOdd", "X-\rOdd",   "X-\nOdd",   "X-\x80Odd",
+        ""};
+    for (const QByteArray& name : names)
+    {
+        check_malformed("HTTP/1.1 200 OK\r\n" + name + ": odd\r\n" + rest);
+    }
+    check_malformed("HTTP/1.1 200 OK\r\nno colon\r\n" + rest);
+    for (const QByteArray& value : {QByteArray("a\x01"), QByteArray("a\0b", 3), QByteArray("a\rb"),
+                                    QByteArray("a\nb"), QByteArray("a\x7f")})
+    {
+        check_malformed("HTTP/1.1 200 OK\r\nX-Odd: " + value + "\r\n" + rest);
+    }
+    for (const char* const length :
+         {"x", "2x", "+2", "-2", "2, 2", "", "0x2", "99999999999999999999"})
+    {
+        check_malformed(QByteArray("HTTP/1.1 200 OK\r\nContent-Length: ") + length + "\r\n\r\nok");
+    }
+    check_malformed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok");
+    const QByteArray chunks = "\r\n2\r\nok\r\n0\r\n\r\n";
+    for (const char* const fields :
+         {"Content-Length: 2\r\nTransfer-Encoding: chunked", "Transfer-Encoding: xchunked",
+          "Transfer-Encoding: gzip, chunked", "Content-Length: 2\r\nTransfer-Encoding: gzip",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip"})
+    {
+        check_malformed(QByteArray("HTTP/1.1 200 OK\r\n") + fields + "\r\n" + chunks);
+    }
+    const QByteArray chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const char* const body : {"-2\r\n", "+2\r\nok\r\n", "0x2\r\nok\r\n", "x\r\n", "\r\n",
+                                   "2 \r\nok\r\n", "2\r\nokay\r\n", "ffffffffffffffff\r\n",
+                                   "0\r\nX Odd: 1\r\n\r\n", "0\r\nX-\x01: 1\r\n\r\n"})
+    {
+        check_malformed(chunked + body);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(answers_without_a_body_are_whole)
+{
+    for (const char* const answer :
+         {"HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"})
+    {
+        response_reader reader;
+        reader.feed(answer);
+        BOOST_TEST(reader.ended(), answer);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace caraway_load::calls
