Load tool: a broken answer on a kept connection is a failure

What was seen: where a kept connection carried a broken answer, the request was sent again to the same router and nothing was counted: it was taken for a connection that the server closed just as it was used again.

Cause: only the connection's age was asked, not whether anything of an answer had come.

Evidence: load/connections failed before, in four of its six calls.

Fix: a kept connection that ends counts as just closed only if no byte of an answer came on it.

--- a/src/caraway_load/calls/caller.cpp
+++ b/src/caraway_load/calls/caller.cpp
@@ -79,9 +79,9 @@
                 {.part = [this](const auto& head, const QByteArray& part) { on_part(head, part); },
                  .whole = [this](const auto& head) { on_whole(head); },
                  .broken =
-                     [this](bool fresh)
+                     [this](bool is_failure)
                  {
-                     on_broken(fresh);
+                     on_broken(is_failure);
                  }});
     patience_.start(static_cast<int>(context_.load.callers.patience_s * 1000));
 }
@@ -128,7 +128,7 @@
     finish();
 }
 
-void caller::on_broken(bool fresh)
+void caller::on_broken(bool is_failure)
 {
     if (!over_)
     {
@@ -137,7 +137,7 @@
     patience_.stop();
     link_ = nullptr;
     attempt_record& mine = record_.attempts.back();
-    if (!fresh && !mine.first_byte_s)
+    if (!is_failure && !mine.first_byte_s)
     {
         // The router closed a kept connection just as it was used again; that is no failure.
         send(mine.router, true);
--- a/src/caraway_load/calls/caller.hpp
+++ b/src/caraway_load/calls/caller.hpp
@@ -44,7 +44,7 @@
     void send(std::uint32_t router, bool same_router_again);
     void on_part(const response_reader& head, const QByteArray& body);
     void on_whole(const response_reader& head);
-    void on_broken(bool fresh);
+    void on_broken(bool is_failure);
     void on_silence();
     void take_refusal(const response_reader& head);
     void again_after(std::chrono::milliseconds pause);
--- a/src/caraway_load/calls/connection.cpp
+++ b/src/caraway_load/calls/connection.cpp
@@ -99,7 +99,7 @@
     }
     closed_ = true;
     const auto hooks = std::exchange(hooks_, {});
-    hooks.broken(requests_ == 1);
+    hooks.broken(requests_ == 1 || reader_.has_begun());
 }
 
 }  // namespace caraway_load::calls
--- a/src/caraway_load/calls/connection.hpp
+++ b/src/caraway_load/calls/connection.hpp
@@ -31,8 +31,9 @@
     std::function<void(const response_reader& head, const QByteArray& body)> part;
     /// The answer is whole.
     std::function<void(const response_reader& head)> whole;
-    /// The connection ended first, or carried no HTTP. `fresh`: it was opened for this request.
-    std::function<void(bool fresh)> broken;
+    /// The connection ended first, or carried no HTTP. `is_failure` is false where the server may
+    /// have closed a kept connection just as it was used again: nothing of an answer came on it.
+    std::function<void(bool is_failure)> broken;
 };
 
 /// A kept connection that carries one request at a time.
