Daemon: an answer of the platform counts only if its end can be told

What was seen: a row counted as written, and an object as read, by a 200 of the platform whose body ended with the connection wherever that was (no length, an unknown transfer coding), or whose head has a malformed field name.

Cause: the client of the platform asked only whether Qt reports an error. Qt reports none where a body without a length ends, and none of a head that it can't read: it then gives the status and no field.

Fix: the same judgement as for engines' answers: a final status, a length or chunks, and as many bytes as were announced. All else is an answer that was lost, so the effect of a write stays unknown.

--- a/src/libcaraway/net/http_answer_check.cpp
+++ b/src/libcaraway/net/http_answer_check.cpp
@@ -47,6 +47,20 @@
 
 }  // namespace
 
+std::vector<http_header> headers_of(const QNetworkReply& reply)
+{
+    std::vector<http_header> headers;
+    for (const auto& [name, value] : reply.rawHeaderPairs())
+    {
+        // Qt joins fields that may not be joined by commas (Set-Cookie) with line feeds.
+        for (const QByteArray& part : value.split('\n'))
+        {
+            headers.push_back({name.toStdString(), part.toStdString()});
+        }
+    }
+    return headers;
+}
+
 std::optional<std::uint64_t> announced_length(const received_answer& answer)
 {
     const auto text = find_header(answer.headers, "content-length");
--- a/src/libcaraway/net/http_answer_check.hpp
+++ b/src/libcaraway/net/http_answer_check.hpp
@@ -23,6 +23,9 @@
     std::uint64_t received = 0;
 };
 
+/// Fields of the answer's head, in the order in which they came.
+std::vector<http_header> headers_of(const QNetworkReply& reply);
+
 /// Its Content-Length, if that is how it says where it ends.
 std::optional<std::uint64_t> announced_length(const received_answer& answer);
 
--- a/src/libcaraway/net/http_attempt.cpp
+++ b/src/libcaraway/net/http_attempt.cpp
@@ -21,20 +21,6 @@
 /// What is held of an answer that is paused; TCP holds the upstream back beyond it.
 constexpr std::uint64_t read_buffer_bytes = std::uint64_t{64} * 1024;
 
-std::vector<http_header> headers_of(const QNetworkReply& reply)
-{
-    std::vector<http_header> headers;
-    for (const auto& [name, value] : reply.rawHeaderPairs())
-    {
-        // Qt joins fields that may not be joined by commas (Set-Cookie) with line feeds.
-        for (const QByteArray& part : value.split('\n'))
-        {
-            headers.push_back({name.toStdString(), part.toStdString()});
-        }
-    }
-    return headers;
-}
-
 }  // namespace
 
 http_attempt::http_attempt(http_call& call, std::shared_ptr<http_client_pool> pool,
--- a/src/libcaraway/net/platform_transport.cpp
+++ b/src/libcaraway/net/platform_transport.cpp
@@ -1,5 +1,6 @@
 #include "libcaraway/net/platform_transport.hpp"
 
+#include "libcaraway/net/http_answer_check.hpp"
 #include "libcaraway/net/platform_upload.hpp"
 
 #include <QNetworkAccessManager>
@@ -26,6 +27,13 @@
     return manager;
 }
 
+bool is_whole(const QNetworkReply& reply, const received_answer& answer)
+{
+    const std::string platform = "the platform";
+    return judge_head(answer, true, platform).message.empty() &&
+           judge(reply, answer, platform).message.empty();
+}
+
 bool never_connected(QNetworkReply::NetworkError error)
 {
     return error == QNetworkReply::ConnectionRefusedError ||
@@ -67,16 +75,15 @@
     {
         return {.what = kind::not_sent, .status = 0, .body = {}};
     }
-    // An error status with a whole body is an answer; Qt reports its kind in three ranges. All
-    // below them means that the connection broke, whatever status and partial body are readable.
-    const bool status_error = error >= QNetworkReply::ContentAccessDenied &&
-                              error != QNetworkReply::ContentReSendError &&
-                              error != QNetworkReply::ProtocolFailure;
-    if (status != 0 && (error == QNetworkReply::NoError || status_error))
+    const auto headers = headers_of(*reply);
+    const QByteArray body = reply->readAll();
+    if (!is_whole(*reply, {.status = status,
+                           .headers = headers,
+                           .received = static_cast<std::uint64_t>(body.size())}))
     {
-        return {.what = kind::answered, .status = status, .body = reply->readAll()};
+        return {.what = kind::lost, .status = status, .body = {}};
     }
-    return {.what = kind::lost, .status = status, .body = {}};
+    return {.what = kind::answered, .status = status, .body = body};
 }
 
 platform_transport::platform_transport(options settings, QObject* parent)
--- a/tests/platform/support.cpp
+++ b/tests/platform/support.cpp
@@ -103,6 +103,12 @@
         socket.close();
         return;
     }
+    if (mode == behaviour::raw_answer)
+    {
+        socket.write(raw);
+        socket.disconnectFromHost();
+        return;
+    }
     const qsizetype promised = body.size() + (mode == behaviour::cut_answer ? 1 : 0);
     socket.write("HTTP/1.1 " + QByteArray::number(status) +
                  " Status\r\nContent-Length: " + QByteArray::number(promised) + "\r\n\r\n" + body);
--- a/tests/platform/support.hpp
+++ b/tests/platform/support.hpp
@@ -43,6 +43,7 @@
         silent,               ///< Reads and never answers.
         close_after_reading,  ///< Reads a whole request, then closes without an answer.
         cut_answer,           ///< Closes in the middle of the answer's body.
+        raw_answer,           ///< Sends `raw` as it is, then closes.
     };
 
     faulty_server();
@@ -54,6 +55,7 @@
     behaviour mode = behaviour::answer;
     int status = 200;
     QByteArray body = "{}";
+    QByteArray raw;
     /// Bodies of the requests that came whole.
     std::vector<QByteArray> requests;
 
