--- a/tests/broken_answers/test_broken_answers.cpp
+++ b/tests/broken_answers/test_broken_answers.cpp
@@ -19,6 +19,16 @@
     return "X-Request-Id: " + id + "\r\nX-Response-Seal: seal\r\n";
 }
 
+std::string marked_line(const std::string& name)
+{
+    return name + ": " + marker + "\r\n";
+}
+
+std::string answer_in(const std::string& coding, const std::string& id, const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\n" + sealed_head(id) + coding + "\r\n\r\n" + body;
+}
+
 /// A whole answer but for its first line.
 std::string after_status_line(const std::string& id)
 {
@@ -172,7 +182,7 @@
     {
         for (const auto& name : names)
         {
-            const auto line = name + ": " + marker + "\r\n";
+            const auto line = marked_line(name);
             check_head_not_passed_on({line, seal, length}, path);
             check_head_not_passed_on({seal, line, length}, path);
             check_head_not_passed_on({seal, length, line}, path);
@@ -189,7 +199,7 @@
     {
         for (const std::string name : {" X-Odd", "\tX-Odd", " ", "\t"})
         {
-            const auto line = name + ": " + marker + "\r\n";
+            const auto line = marked_line(name);
             check_head_not_passed_on({line, seal, length}, path);
             check_head_not_passed_on({seal, "X-Other: other\r\n", line, length}, path);
             check_head_not_passed_on({seal, "X-Other:\r\n", line, length}, path);
@@ -246,11 +256,8 @@
         for (const auto& coding : codings)
         {
             check_not_passed_on(
-                [&](const std::string& id)
-                {
-                    return raw_answer{.bytes = "HTTP/1.1 200 OK\r\n" + sealed_head(id) + coding +
-                                               "\r\n\r\n" + chunks,
-                                      .end = ending::close};
+                [&](const std::string& id) {
+                    return raw_answer{.bytes = answer_in(coding, id, chunks), .end = ending::close};
                 },
                 coding, path);
         }
--- a/tests/users_platform/test_broken_answers.cpp
+++ b/tests/users_platform/test_broken_answers.cpp
@@ -39,6 +39,11 @@
                body;
     }
 
+    static std::string in_coding(const std::string& coding, const std::string& body)
+    {
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + body;
+    }
+
     /// Answers that hold a body that could be taken for the server's.
     static std::vector<std::string> broken(const std::string& body)
     {
@@ -53,8 +58,7 @@
         }
         for (const std::string coding : {"xchunked", "gzip", "chunked, gzip"})
         {
-            answers.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n" +
-                              body);
+            answers.push_back(in_coding(coding, body));
         }
         return answers;
     }
@@ -92,7 +96,7 @@
     {
         std::optional<bool> written;
         port.routers.write({.key = "r1", .value = value},
-                           [&](base::result<void> result) { written = bool(result); });
+                           [&](const base::result<void>& result) { written = bool(result); });
         wait_for_request();
         answer();
         BOOST_REQUIRE(becomes_true([&] { return written.has_value(); }));
