HTTP: requests without a transfer coding are looked through for it once

Cause: since the check of requests counts the fields of that name and then has all fields looked through again for it, on each request.

Change: the second look is taken only where there is such a field. Beside it, without effect: one function for errors of unknown effect in http_answer_check instead of the same lambda twice, and an include that nothing uses in response_head.

--- a/src/caraway_load/calls/response_head.cpp
+++ b/src/caraway_load/calls/response_head.cpp
@@ -1,7 +1,5 @@
 #include "caraway_load/calls/response_head.hpp"
 
-#include <QList>
-
 #include <algorithm>
 
 namespace caraway_load::calls
--- a/src/libcaraway/http/request_checks.cpp
+++ b/src/libcaraway/http/request_checks.cpp
@@ -21,8 +21,11 @@
 {
     const auto encodings = head.count(field::transfer_encoding);
     const auto length_fields = head.count(field::content_length);
-    if (length_fields > 1 || !has_known_coding(head, head.version()) ||
-        (length_fields > 0 && encodings > 0))
+    if (length_fields > 1 || (length_fields > 0 && encodings > 0))
+    {
+        return false;
+    }
+    if (encodings > 0 && !has_known_coding(head, head.version()))
     {
         return false;
     }
--- a/src/libcaraway/net/http_answer_check.cpp
+++ b/src/libcaraway/net/http_answer_check.cpp
@@ -45,6 +45,11 @@
     return announced_length(answer).has_value();
 }
 
+base::error unknown(const std::string& upstream, const std::string& message)
+{
+    return base::make_error(base::errc::unknown_effect, upstream + ": " + message);
+}
+
 }  // namespace
 
 std::vector<http_header> headers_of(const QNetworkReply& reply)
@@ -75,19 +80,16 @@
 
 base::error judge_head(const received_answer& answer, bool has_body, const std::string& upstream)
 {
-    const auto unknown = [&](const std::string& message)
-    {
-        return base::make_error(base::errc::unknown_effect, upstream + ": " + message);
-    };
     if (answer.status < first_final_status || answer.status > last_status)
     {
-        return unknown("the answer's status is " + std::to_string(answer.status) +
-                       ", a final one is from " + std::to_string(first_final_status) + " to " +
-                       std::to_string(last_status));
+        return unknown(upstream, "the answer's status is " + std::to_string(answer.status) +
+                                     ", a final one is from " + std::to_string(first_final_status) +
+                                     " to " + std::to_string(last_status));
     }
     if (has_body && !is_framed(answer))
     {
-        return unknown("the answer has neither length nor chunks, so its end can't be told");
+        return unknown(upstream,
+                       "the answer has neither length nor chunks, so its end can't be told");
     }
     return {};
 }
@@ -95,10 +97,6 @@
 base::error judge(const QNetworkReply& reply, const received_answer& answer,
                   const std::string& upstream)
 {
-    const auto unknown = [&](const std::string& message)
-    {
-        return base::make_error(base::errc::unknown_effect, upstream + ": " + message);
-    };
     const auto error = reply.error();
     if (error == QNetworkReply::ConnectionRefusedError)
     {
@@ -106,7 +104,7 @@
     }
     if (answer.status == 0)
     {
-        return unknown("no answer: " + reply.errorString().toStdString());
+        return unknown(upstream, "no answer: " + reply.errorString().toStdString());
     }
     if (const auto length = announced_length(answer))
     {
@@ -114,11 +112,11 @@
         // to send the body again.
         return *length == answer.received
                    ? base::error{}
-                   : unknown("the answer is shorter than its Content-Length");
+                   : unknown(upstream, "the answer is shorter than its Content-Length");
     }
     if (error != QNetworkReply::NoError && !follows_from_status(error, answer.status))
     {
-        return unknown("the answer was cut: " + reply.errorString().toStdString());
+        return unknown(upstream, "the answer was cut: " + reply.errorString().toStdString());
     }
     return {};
 }
