Tests: Qt's application object is a fixture in one place

Cause: the broken answers of the load tool brought a third copy of it. No check changed; load and the client's cases of net pass.

--- a/tests/load/main.cpp
+++ b/tests/load/main.cpp
@@ -1,20 +1,6 @@
 #define BOOST_TEST_MODULE load
-#include <boost/test/unit_test.hpp>
-
-#include <QCoreApplication>
-
-namespace
-{
+#include "../qt_application.hpp"
 
-/// The one application object that Qt wants.
-struct application
-{
-    int argc = 1;
-    char name[10] = "test_load";
-    char* argv[2] = {name, nullptr};
-    QCoreApplication qt{argc, argv};
-};
-
-}  // namespace
+#include <boost/test/unit_test.hpp>
 
-BOOST_TEST_GLOBAL_FIXTURE(application);
+BOOST_TEST_GLOBAL_FIXTURE(qt_application);
--- a/tests/net/net_fixture.cpp
+++ b/tests/net/net_fixture.cpp
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE net
 #include "net_fixture.hpp"
 
+#include "../qt_application.hpp"
+
 #include "libcaraway/net/http_socket.hpp"
 
 #include <QCoreApplication>
@@ -22,21 +24,7 @@
 namespace caraway::test
 {
 
-namespace
-{
-
-/// The one application object that Qt wants.
-struct application
-{
-    int argc = 1;
-    char name[9] = "test_net";
-    char* argv[2] = {name, nullptr};
-    QCoreApplication qt{argc, argv};
-};
-
-}  // namespace
-
-BOOST_TEST_GLOBAL_FIXTURE(application);
+BOOST_TEST_GLOBAL_FIXTURE(qt_application);
 
 bool wait_until(const std::function<bool()>& condition, std::chrono::seconds limit)
 {
